Lay out the workspace, the core vocabulary and the design

The repository was empty. This adds the Maven workspace of eight modules, the typed identifiers, clock, timer, time line and key=value log of `core`, and the sealed inputs and outputs that the request path (`routing`) and the replicated state (`state.command`) are written against, so that the parts can be built side by side.

docs/design.md records the requirements, the owners of each piece of state, the messages and the behaviour on failure. For the limit of an upstream four ways were weighed; one leased coordinator per failure domain was chosen, because it keeps one queue per pool and reserves several engines in one step.

--- /dev/null
+++ b/core/src/main/kotlin/samphirechute/core/Ids.kt
@@ -0,0 +1,91 @@
+package samphirechute.core
+
+import kotlinx.serialization.Serializable
+
+/** Names one process of the system; unique across failure domains, stable over restarts. */
+@Serializable
+@JvmInline
+value class InstanceId(
+    val value: String,
+) : Comparable<InstanceId> {
+    override fun compareTo(other: InstanceId) = value.compareTo(other.value)
+
+    override fun toString() = value
+}
+
+/** Names one failure domain, such as `sofia-a`. */
+@Serializable
+@JvmInline
+value class FailureDomain(
+    val value: String,
+) : Comparable<FailureDomain> {
+    override fun compareTo(other: FailureDomain) = value.compareTo(other.value)
+
+    override fun toString() = value
+}
+
+/** Names one upstream: a model engine or a plain service process. */
+@Serializable
+@JvmInline
+value class UpstreamId(
+    val value: String,
+) : Comparable<UpstreamId> {
+    override fun compareTo(other: UpstreamId) = value.compareTo(other.value)
+
+    override fun toString() = value
+}
+
+/** Names the team that a service file belongs to and that its requests are accounted to. */
+@Serializable
+@JvmInline
+value class TeamName(
+    val value: String,
+) : Comparable<TeamName> {
+    override fun compareTo(other: TeamName) = value.compareTo(other.value)
+
+    override fun toString() = value
+}
+
+/** Names one service, as in its service file. */
+@Serializable
+@JvmInline
+value class ServiceName(
+    val value: String,
+) : Comparable<ServiceName> {
+    override fun compareTo(other: ServiceName) = value.compareTo(other.value)
+
+    override fun toString() = value
+}
+
+/** Names what a group of upstreams serves: a model of engines, or an application of plain services. */
+@Serializable
+@JvmInline
+value class PoolName(
+    val value: String,
+) : Comparable<PoolName> {
+    override fun compareTo(other: PoolName) = value.compareTo(other.value)
+
+    override fun toString() = value
+}
+
+/** Identifies a caller's request; a resend of the same request carries the same identifier. */
+@Serializable
+@JvmInline
+value class RequestId(
+    val value: String,
+) : Comparable<RequestId> {
+    override fun compareTo(other: RequestId) = value.compareTo(other.value)
+
+    override fun toString() = value
+}
+
+/** Identifies an operator's change; a resend of the same change carries the same identifier. */
+@Serializable
+@JvmInline
+value class OperationId(
+    val value: String,
+) : Comparable<OperationId> {
+    override fun compareTo(other: OperationId) = value.compareTo(other.value)
+
+    override fun toString() = value
+}
--- /dev/null
+++ b/core/src/main/kotlin/samphirechute/core/log/KeyValueLog.kt
@@ -0,0 +1,42 @@
+package samphirechute.core.log
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+
+/** Writes one `event=name key=value ...` line for each event; values with spaces or quotes are quoted. */
+class KeyValueLog(
+    name: String,
+) {
+    private val logger = KotlinLogging.logger(name)
+
+    fun event(
+        event: String,
+        fields: Map<String, Any?> = emptyMap(),
+    ) = logger.info { line(event, fields) }
+
+    fun warn(
+        event: String,
+        fields: Map<String, Any?> = emptyMap(),
+        cause: Throwable? = null,
+    ) = logger.warn(cause) { line(event, fields) }
+
+    internal fun line(
+        event: String,
+        fields: Map<String, Any?>,
+    ) = buildString {
+        append("event=").append(event)
+        fields.forEach { (key, value) -> append(' ').append(key).append('=').append(quoted(value.toString())) }
+    }
+
+    private fun quoted(value: String): String {
+        val isPlain =
+            value.isNotEmpty() && value.none { it.isWhitespace() || it == '"' || it == '=' || it.isISOControl() }
+        if (isPlain) return value
+        val escaped =
+            value
+                .replace("\\", "\\\\")
+                .replace("\"", "\\\"")
+                .replace("\n", "\\n")
+                .replace("\r", "\\r")
+        return "\"$escaped\""
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/GrantRequest.kt
@@ -0,0 +1,45 @@
+package samphirechute.routing
+
+import samphirechute.core.InstanceId
+import samphirechute.core.PoolName
+import samphirechute.core.RequestId
+import samphirechute.core.ServiceName
+import samphirechute.core.TeamName
+import samphirechute.core.UpstreamId
+import samphirechute.core.service.Urgency
+
+/**
+ * Asks the coordinator of a failure domain for room on its upstreams. Times are durations that remain, not points
+ * in time, since the clocks of two instances are not comparable.
+ */
+data class GrantRequest(
+    val requestId: RequestId,
+    val attempt: Int,
+    val instance: InstanceId,
+    val service: ServiceName,
+    val team: TeamName,
+    val share: Int,
+    val urgency: Urgency,
+    val pool: PoolName,
+    val promptTokens: Long,
+    val maxTokens: Long,
+    val prefixes: List<PromptPrefix>,
+    val firstTokenRemainingMs: Long,
+    val remainingMs: Long,
+    val excluded: Set<UpstreamId> = emptySet(),
+) {
+    val key: GrantKey get() = GrantKey(instance, requestId, attempt)
+}
+
+/** The hash of the first [tokens] tokens of a prompt, as engines publish it in cache events. */
+data class PromptPrefix(
+    val hash: Long,
+    val tokens: Long,
+)
+
+/** Identifies one attempt of one request of one instance; a grant is known by the attempt it was given to. */
+data class GrantKey(
+    val instance: InstanceId,
+    val requestId: RequestId,
+    val attempt: Int,
+)
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/command/Command.kt
@@ -0,0 +1,211 @@
+package samphirechute.state.command
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import samphirechute.core.FailureDomain
+import samphirechute.core.HostPort
+import samphirechute.core.InstanceId
+import samphirechute.core.OperationId
+import samphirechute.core.RequestId
+import samphirechute.core.ServiceName
+import samphirechute.core.TeamName
+import samphirechute.core.UpstreamId
+import samphirechute.core.service.ServiceSpec
+
+/**
+ * A change of the replicated state. [Timed.atMs] is the leader's wall time when it appended the command; the state
+ * machine takes time from nowhere else, so every member computes the same result.
+ */
+@Serializable
+sealed class Command {
+    @Serializable
+    @SerialName("noop")
+    data object Noop : Command()
+
+    @Serializable
+    @SerialName("publish_config")
+    data class PublishConfig(
+        val operationId: OperationId,
+        val baseRevision: Long,
+        val services: List<ServiceSpec>,
+    ) : Command()
+
+    @Serializable
+    @SerialName("claim_request")
+    data class ClaimRequest(
+        val key: ClaimKey,
+        val bodyDigest: String,
+        val claimant: Claimant,
+        val deadlineMs: Long,
+    ) : Command()
+
+    @Serializable
+    @SerialName("finish_claim")
+    data class FinishClaim(
+        val key: ClaimKey,
+        val claimant: Claimant,
+        val result: ClaimResult,
+    ) : Command()
+
+    /** The claimant sent nothing and never will. */
+    @Serializable
+    @SerialName("release_claim")
+    data class ReleaseClaim(
+        val key: ClaimKey,
+        val claimant: Claimant,
+    ) : Command()
+
+    @Serializable
+    @SerialName("set_drain")
+    data class SetDrain(
+        val operationId: OperationId,
+        val target: DrainTarget,
+        val isDrained: Boolean,
+    ) : Command()
+
+    @Serializable
+    @SerialName("accept_document")
+    data class AcceptDocument(
+        val id: String,
+        val service: ServiceName,
+        val requestId: RequestId,
+        val bodyDigest: String,
+        val holders: List<InstanceId>,
+        val deadlineMs: Long,
+    ) : Command()
+
+    @Serializable
+    @SerialName("assign_document")
+    data class AssignDocument(
+        val id: String,
+        val runner: Claimant,
+        val leaseMs: Long,
+    ) : Command()
+
+    @Serializable
+    @SerialName("finish_document")
+    data class FinishDocument(
+        val id: String,
+        val runner: Claimant,
+        val answerDigest: String?,
+        val holders: List<InstanceId>,
+        val errorCode: String? = null,
+    ) : Command()
+
+    @Serializable
+    @SerialName("issue_order")
+    data class IssueOrder(
+        val operationId: OperationId,
+        val upstream: UpstreamId,
+        val order: UpstreamOrder,
+    ) : Command()
+
+    @Serializable
+    @SerialName("finish_order")
+    data class FinishOrder(
+        val operationId: OperationId,
+        val isDone: Boolean,
+        val detail: String,
+    ) : Command()
+
+    /** Adds a member, or replaces the disk identity of one that lost its disk. */
+    @Serializable
+    @SerialName("add_member")
+    data class AddMember(
+        val operationId: OperationId,
+        val member: StoreMember,
+    ) : Command()
+
+    @Serializable
+    @SerialName("remove_member")
+    data class RemoveMember(
+        val operationId: OperationId,
+        val instance: InstanceId,
+    ) : Command()
+}
+
+/** A command as it stands in the log. */
+@Serializable
+data class Timed(
+    val atMs: Long,
+    val command: Command,
+)
+
+/** Identifies a claim. The same request identifier may be used by two services. */
+@Serializable
+data class ClaimKey(
+    val team: TeamName,
+    val service: ServiceName,
+    val requestId: RequestId,
+)
+
+/** One life of one instance: a restart has a higher incarnation. */
+@Serializable
+data class Claimant(
+    val instance: InstanceId,
+    val incarnation: Long,
+)
+
+/** The outcome of a non-repeatable request. [body] is null when the answer was too large to keep. */
+@Serializable
+data class ClaimResult(
+    val status: Int,
+    val contentType: String,
+    val body: String?,
+    val isUnknown: Boolean = false,
+)
+
+/** What operators can take out of service and bring back. */
+@Serializable
+sealed class DrainTarget {
+    @Serializable
+    @SerialName("instance")
+    data class Instance(
+        val instance: InstanceId,
+    ) : DrainTarget()
+
+    @Serializable
+    @SerialName("upstream")
+    data class Upstream(
+        val upstream: UpstreamId,
+    ) : DrainTarget()
+
+    @Serializable
+    @SerialName("failure_domain")
+    data class Domain(
+        val failureDomain: FailureDomain,
+    ) : DrainTarget()
+}
+
+/** An order to an engine. */
+@Serializable
+sealed class UpstreamOrder {
+    @Serializable
+    @SerialName("load_model")
+    data class LoadModel(
+        val model: String,
+        val version: String,
+    ) : UpstreamOrder()
+
+    @Serializable
+    @SerialName("load_adapter")
+    data class LoadAdapter(
+        val adapter: String,
+        val version: String,
+    ) : UpstreamOrder()
+
+    @Serializable
+    @SerialName("change_role")
+    data class ChangeRole(
+        val role: String,
+    ) : UpstreamOrder()
+}
+
+/** A member of the store quorum. [diskId] is written at first start, so a wiped disk is another member. */
+@Serializable
+data class StoreMember(
+    val instance: InstanceId,
+    val failureDomain: FailureDomain,
+    val address: HostPort,
+    val diskId: String,
+)
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/command/CommandResult.kt
@@ -0,0 +1,78 @@
+package samphirechute.state.command
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import samphirechute.core.OperationId
+
+/** What applying a command gave; every member computes the same result. */
+@Serializable
+sealed class CommandResult {
+    @Serializable
+    @SerialName("done")
+    data object Done : CommandResult()
+
+    @Serializable
+    @SerialName("published")
+    data class Published(
+        val revision: Long,
+    ) : CommandResult()
+
+    /** Another set was published on the same base revision first. */
+    @Serializable
+    @SerialName("conflict")
+    data class Conflict(
+        val revision: Long,
+        val winner: OperationId?,
+    ) : CommandResult()
+
+    @Serializable
+    @SerialName("claim")
+    data class Claim(
+        val state: ClaimState,
+    ) : CommandResult()
+
+    @Serializable
+    @SerialName("drained")
+    data class Drained(
+        val drainVersion: Long,
+    ) : CommandResult()
+
+    /** The command does not fit the state, for the reason in [message]; nothing changed. */
+    @Serializable
+    @SerialName("rejected")
+    data class Rejected(
+        val code: String,
+        val message: String,
+    ) : CommandResult()
+}
+
+/** The state of a claim, as a resend finds it. */
+@Serializable
+sealed class ClaimState {
+    /** The claim was given to the one who asked. */
+    @Serializable
+    @SerialName("accepted")
+    data object Accepted : ClaimState()
+
+    @Serializable
+    @SerialName("running")
+    data class Running(
+        val claimant: Claimant,
+        val deadlineMs: Long,
+    ) : ClaimState()
+
+    @Serializable
+    @SerialName("finished")
+    data class Finished(
+        val result: ClaimResult,
+    ) : ClaimState()
+
+    /** The request may have run, and its outcome is lost. */
+    @Serializable
+    @SerialName("unknown")
+    data object Unknown : ClaimState()
+
+    @Serializable
+    @SerialName("other_body")
+    data object OtherBody : ClaimState()
+}
