Add the HTTP server and client on one loop

The daemons, the stand-ins and the command line need HTTP with streamed answers, bounded bodies and back pressure. The server collects a request within limits of head, body, time and a budget over all bodies, answers malformed input itself, keeps pipelined requests in order, and tells a handler when its client has gone. The client keeps connections alive, does not reuse one that was idle for 10 s, and reports a refused connection apart from one that broke after bytes may have been sent.

--- /dev/null
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -0,0 +1,88 @@
+package samphirechute.net
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import samphirechute.core.HostPort
+
+/** One connection to a peer. It serves one call at a time and returns to the pool when its answer is complete. */
+internal class ClientConnection(
+    private val address: HostPort,
+    private val pool: ConnectionPool,
+) : SimpleChannelInboundHandler<HttpObject>() {
+    private var call: ActiveCall? = null
+    private var isKeepAlive = true
+
+    fun serve(next: ActiveCall) {
+        call = next
+    }
+
+    override fun channelRead0(
+        context: ChannelHandlerContext,
+        message: HttpObject,
+    ) {
+        val current = call
+        if (current == null || message.decoderResult().isFailure) {
+            call = null
+            context.close()
+            current?.failed(
+                ClientFailure.Malformed(
+                    message
+                        .decoderResult()
+                        .cause()
+                        ?.message
+                        .orEmpty(),
+                ),
+            )
+            return
+        }
+        if (message is HttpResponse) {
+            if (message.status().code() == CONTINUE_STATUS) return
+            isKeepAlive = HttpUtil.isKeepAlive(message)
+            current.head(message)
+        }
+        if (message is HttpContent) current.body(message.content())
+        if (message is LastHttpContent && call === current) ended(context, current)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        pool.remove(address, context.channel())
+        val current = call
+        call = null
+        current?.failed(ClientFailure.Closed("peer closed the connection"))
+    }
+
+    @Deprecated("Deprecated in the interface of the library")
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        val current = call
+        call = null
+        context.close()
+        current?.failed(ClientFailure.Closed(cause.message ?: cause.javaClass.simpleName))
+    }
+
+    private fun ended(
+        context: ChannelHandlerContext,
+        current: ActiveCall,
+    ) {
+        call = null
+        context.channel().config().isAutoRead = true
+        if (isKeepAlive) pool.put(address, context.channel()) else context.close()
+        current.ended()
+    }
+
+    /** Drops the call without telling its listener. */
+    fun abandon(context: ActiveCall) {
+        if (call === context) call = null
+    }
+
+    private companion object {
+        const val CONTINUE_STATUS = 100
+    }
+}
--- /dev/null
+++ b/net/src/main/kotlin/samphirechute/net/EventLoop.kt
@@ -0,0 +1,35 @@
+package samphirechute.net
+
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.util.concurrent.DefaultThreadFactory
+import java.util.concurrent.TimeUnit
+
+/**
+ * The one loop of a process: a single thread that runs all sockets, timers and decisions, so that none of them
+ * needs a lock.
+ */
+class EventLoop(
+    name: String = "loop",
+) : AutoCloseable {
+    internal val group: EventLoopGroup =
+        MultiThreadIoEventLoopGroup(1, DefaultThreadFactory(name, true), NioIoHandler.newFactory())
+    private val executor = group.next()
+
+    val timer = LoopTimer(executor)
+
+    /** Runs [action] on the loop; callable from any thread. */
+    fun post(action: () -> Unit) = executor.execute(action)
+
+    /** True on the thread of the loop. */
+    fun isCurrent() = executor.inEventLoop()
+
+    override fun close() {
+        group.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_TIMEOUT_MS)
+    }
+
+    private companion object {
+        const val CLOSE_TIMEOUT_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/net/src/main/kotlin/samphirechute/net/HttpClient.kt
@@ -0,0 +1,86 @@
+package samphirechute.net
+
+import com.github.michaelbull.result.Result
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import samphirechute.core.HostPort
+
+/**
+ * Sends requests on the loop, over kept-alive connections, one call at a time on each. A connection that was idle
+ * for longer than [maxIdleMs] is not used again.
+ */
+class HttpClient(
+    private val loop: EventLoop,
+    private val connectTimeoutMs: Int = 1_000,
+    private val maxIdleMs: Long = 10_000,
+) {
+    private val pool = ConnectionPool(loop.timer, maxIdleMs)
+
+    /** Starts a call; must be called on the loop. */
+    fun send(
+        request: ClientRequest,
+        listener: ResponseListener,
+    ): ClientCall {
+        val call = ActiveCall(request, listener)
+        val pooled = if (request.useFreshConnection) null else pool.take(request.address)
+        if (pooled != null) call.start(pooled) else connect(request.address, call)
+        return call
+    }
+
+    /** Sends a request and collects its answer, up to [maxBytes], within [timeoutMs]. */
+    fun call(
+        request: ClientRequest,
+        timeoutMs: Long,
+        maxBytes: Int = 16 * 1024 * 1024,
+        onResult: (Result<ClientResponse, ClientFailure>) -> Unit,
+    ): ClientCall {
+        val collector = ResponseCollector(timeoutMs, maxBytes, loop.timer, onResult)
+        return send(request, collector).also(collector::follow)
+    }
+
+    /** Closes the idle connections to an address that was found silent. */
+    fun retire(address: HostPort) = pool.retire(address)
+
+    private fun connect(
+        address: HostPort,
+        call: ActiveCall,
+    ) {
+        val bootstrap =
+            Bootstrap()
+                .group(loop.group)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(initializer(address))
+        bootstrap.connect(address.host, address.port).addListener { future ->
+            if (future.isSuccess) {
+                call.start(
+                    (future as ChannelFuture).channel(),
+                )
+            } else {
+                call.connectFailed(future.cause())
+            }
+        }
+    }
+
+    private fun initializer(address: HostPort) =
+        object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                val codec = HttpClientCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, CHUNK_BYTES)
+                channel.pipeline().addLast(codec, ClientConnection(address, pool))
+            }
+        }
+
+    private companion object {
+        const val MAX_HEAD_BYTES = 32 * 1024
+        const val CHUNK_BYTES = 64 * 1024
+    }
+}
+
+internal fun Channel.connection(): ClientConnection = pipeline().get(ClientConnection::class.java)
--- /dev/null
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -0,0 +1,79 @@
+package samphirechute.net
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.util.concurrent.GlobalEventExecutor
+import samphirechute.core.HostPort
+import java.net.InetSocketAddress
+
+/** Answers requests on the loop. Malformed or oversized input is answered here and never reaches [handler]. */
+class HttpServer(
+    private val loop: EventLoop,
+    private val limits: ServerLimits = ServerLimits(),
+    private val handler: (Exchange) -> Unit,
+) : AutoCloseable {
+    private val budget = BodyBudget(limits.maxBufferedBytes)
+    private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private var listener: Channel? = null
+
+    val openConnections: Int get() = connections.size
+
+    /** Bytes of request bodies held in memory. */
+    val bufferedBytes: Long get() = budget.usedBytes
+
+    /** Listens on [address] and returns the bound one, whose port differs when port 0 was asked for. */
+    fun bind(address: HostPort): HostPort {
+        val bootstrap =
+            ServerBootstrap()
+                .group(loop.group)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_MARK, HIGH_MARK))
+                .childHandler(initializer())
+        val channel = bootstrap.bind(InetSocketAddress(address.host, address.port)).syncUninterruptibly().channel()
+        listener = channel
+        return HostPort(address.host, (channel.localAddress() as InetSocketAddress).port)
+    }
+
+    /** Takes no more connections; those that are open go on. */
+    fun stopListening() {
+        listener?.close()
+        listener = null
+    }
+
+    override fun close() {
+        stopListening()
+        connections.close()
+    }
+
+    private fun initializer() =
+        object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                if (connections.size >= limits.maxConnections) {
+                    channel.close()
+                    return
+                }
+                connections += channel
+                channel.pipeline().addLast(
+                    HttpServerCodec(limits.maxHeadBytes, limits.maxHeadBytes, CHUNK_BYTES),
+                    ServerConnection(loop, limits, budget, handler),
+                )
+            }
+        }
+
+    private companion object {
+        const val BACKLOG = 1_024
+        const val CHUNK_BYTES = 64 * 1024
+        const val LOW_MARK = 32 * 1024
+        const val HIGH_MARK = 128 * 1024
+    }
+}
--- /dev/null
+++ b/net/src/main/kotlin/samphirechute/net/ServerLimits.kt
@@ -0,0 +1,11 @@
+package samphirechute.net
+
+/** Bounds on what an HTTP server takes from its clients. */
+data class ServerLimits(
+    val maxHeadBytes: Int = 16 * 1024,
+    val maxBodyBytes: Int = 8 * 1024 * 1024,
+    val maxBufferedBytes: Long = 24L * 1024 * 1024,
+    val maxConnections: Int = 4_096,
+    val readTimeoutMs: Long = 10_000,
+    val keepAliveMs: Long = 60_000,
+)
--- /dev/null
+++ b/net/src/main/kotlin/samphirechute/net/ServerRequest.kt
@@ -0,0 +1,20 @@
+package samphirechute.net
+
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.QueryStringDecoder
+
+/** A complete request as the server read it. [path] has no query; header names are case-insensitive. */
+class ServerRequest(
+    val method: String,
+    uri: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+) {
+    private val decoder = QueryStringDecoder(uri)
+    val uri: String = uri
+    val path: String = decoder.path()
+
+    fun header(name: String): String? = headers[name]
+
+    fun query(name: String): String? = decoder.parameters()[name]?.firstOrNull()
+}
