--- /dev/null
+++ b/core/src/main/kotlin/samphirechute/core/engine/GenerateBody.kt
@@ -0,0 +1,31 @@
+package samphirechute.core.engine
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import samphirechute.core.RequestId
+
+/**
+ * Asks an engine to generate an answer (`POST /v1/generate`). The engine starts at [resumeOffset] of the answer.
+ * [lenders] are engines whose memory the prompt needs besides that of the engine asked.
+ */
+@Serializable
+data class GenerateBody(
+    @SerialName("request_id") val requestId: RequestId,
+    val attempt: Int,
+    val model: String,
+    val prompt: String,
+    @SerialName("prompt_tokens") val promptTokens: Long,
+    @SerialName("max_tokens") val maxTokens: Long,
+    @SerialName("resume_offset") val resumeOffset: Long = 0,
+    val priority: Int = 0,
+    @SerialName("deadline_ms") val deadlineMs: Long,
+    val lenders: List<String> = emptyList(),
+)
+
+/** Asks an engine to stop a request and free its memory (`POST /v1/cancel`). */
+@Serializable
+data class CancelBody(
+    @SerialName("request_id") val requestId: RequestId,
+    /** The attempt to stop; null stops the request whatever its attempt. */
+    val attempt: Int? = null,
+)
--- a/routing/src/main/kotlin/samphirechute/routing/Grant.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/Grant.kt
@@ -1,9 +1,11 @@
 package samphirechute.routing
 
+import kotlinx.serialization.Serializable
 import samphirechute.core.HostPort
 import samphirechute.core.UpstreamId
 
 /** Permission for one attempt of one request to use its parts, while its holder renews it. */
+@Serializable
 data class Grant(
     val key: GrantKey,
     val epoch: Long,
@@ -17,6 +19,7 @@
 }
 
 /** Room on one upstream. It is void when the upstream has another generation. */
+@Serializable
 data class GrantPart(
     val upstream: UpstreamId,
     val generation: Long,
@@ -26,6 +29,7 @@
 )
 
 /** How a grant ended, as its holder saw it. */
+@Serializable
 data class GrantResult(
     val ending: GrantEnding,
     val firstTokenMs: Long? = null,
@@ -34,6 +38,7 @@
     val cachedTokens: Long = 0,
 )
 
+@Serializable
 enum class GrantEnding {
     COMPLETED,
     CANCELLED,
@@ -52,6 +57,7 @@
 }
 
 /** Why a request was refused before any of it was sent. */
+@Serializable
 enum class RefusalReason {
     /** It would not have finished, or given its first token, in time. */
     TOO_LATE,
--- a/routing/src/main/kotlin/samphirechute/routing/GrantRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/GrantRequest.kt
@@ -1,5 +1,6 @@
 package samphirechute.routing
 
+import kotlinx.serialization.Serializable
 import samphirechute.core.InstanceId
 import samphirechute.core.PoolName
 import samphirechute.core.RequestId
@@ -12,6 +13,7 @@
  * Asks the coordinator of a failure domain for room on its upstreams. Times are durations that remain, not points
  * in time, since the clocks of two instances are not comparable.
  */
+@Serializable
 data class GrantRequest(
     val requestId: RequestId,
     val attempt: Int,
@@ -32,12 +34,14 @@
 }
 
 /** The hash of the first [tokens] tokens of a prompt, as engines publish it in cache events. */
+@Serializable
 data class PromptPrefix(
     val hash: Long,
     val tokens: Long,
 )
 
 /** Identifies one attempt of one request of one instance; a grant is known by the attempt it was given to. */
+@Serializable
 data class GrantKey(
     val instance: InstanceId,
     val requestId: RequestId,
