--- /dev/null
+++ b/core/src/main/kotlin/samphirechute/core/api/InstancesView.kt
@@ -0,0 +1,36 @@
+package samphirechute.core.api
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import samphirechute.core.FailureDomain
+import samphirechute.core.HostPort
+import samphirechute.core.InstanceId
+
+/** The instances that one instance knows, itself included. */
+@Serializable
+data class InstancesView(
+    val instances: List<InstanceView>,
+)
+
+@Serializable
+data class InstanceView(
+    val id: InstanceId,
+    val failureDomain: FailureDomain,
+    val address: HostPort,
+    val state: InstanceState,
+    val revision: Long,
+    val incarnation: Long = 0,
+    val isStore: Boolean = false,
+)
+
+@Serializable
+enum class InstanceState {
+    @SerialName("alive")
+    ALIVE,
+
+    @SerialName("suspected")
+    SUSPECTED,
+
+    @SerialName("dead")
+    DEAD,
+}
--- /dev/null
+++ b/core/src/main/kotlin/samphirechute/core/api/TimelineView.kt
@@ -0,0 +1,12 @@
+package samphirechute.core.api
+
+import kotlinx.serialization.Serializable
+import samphirechute.core.InstanceId
+import samphirechute.core.timeline.TimelineEvent
+
+/** The recent events of one instance, in order of time. */
+@Serializable
+data class TimelineView(
+    val instance: InstanceId,
+    val events: List<TimelineEvent>,
+)
