Decide the course of one request on its entry instance

Cause: the daemon needs the entry side of the request path: claim, grant, attempts, answer and outcome. GrantRefused names its attempt, since a late refusal of an earlier attempt could otherwise end the current one. AttemptFailed carries the request id that a refusal names, since a refusal that belongs to another request on a crossed connection proves nothing about this one.

--- a/routing/src/main/kotlin/samphirechute/routing/flow/FlowInput.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/FlowInput.kt
@@ -16,13 +16,14 @@
         val grant: Grant,
     ) : FlowInput()
 
-    /** No coordinator gave a grant; [reason] is that of the last one asked. */
+    /** No coordinator gave a grant for [attempt]; [reason] is that of the last one asked. */
     data class GrantRefused(
+        val attempt: Int,
         val reason: RefusalReason,
         val retryAfterMs: Long,
     ) : FlowInput()
 
-    /** From now on the upstream may have received the request. */
+    /** From now on the upstream may have received the request. Handled before the first byte is written. */
     data class BytesSent(
         val attempt: Int,
     ) : FlowInput()
@@ -42,9 +43,11 @@
         val totalTokens: Long,
     ) : FlowInput()
 
+    /** [requestId] is the request that a refusal names; a refusal that names no request proves nothing. */
     data class AttemptFailed(
         val attempt: Int,
         val failure: AttemptFailure,
+        val requestId: String? = null,
     ) : FlowInput()
 
     /** The outcome of a non-repeatable request is, or is not, in the replicated log. */
--- a/routing/src/main/kotlin/samphirechute/routing/flow/FlowOutput.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/FlowOutput.kt
@@ -6,9 +6,13 @@
 
 /** What the flow of one request asks its instance to do. */
 sealed class FlowOutput {
+    /** Asks for the claim of the request. Answered once; asked again while another claimant runs the request. */
     data object AskClaim : FlowOutput()
 
-    /** The claim is not used: nothing was sent, nor will be. */
+    /**
+     * The claim is not used: nothing was sent, nor will be. Comes a second time when the claim is accepted after it
+     * was released, because the first release may have reached the log before the claim.
+     */
     data object ReleaseClaim : FlowOutput()
 
     data class AskGrant(
@@ -33,7 +37,10 @@
         val texts: List<String>,
     ) : FlowOutput()
 
-    /** Stops an attempt at its upstream; [retireConnection] when its connection may be silent for good. */
+    /**
+     * Stops an attempt at its upstream; [retireConnection] when its connection may be silent for good. What has not
+     * been sent of the attempt is not sent any more.
+     */
     data class CancelAttempt(
         val grant: Grant,
         val attempt: Int,
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/FlowTimes.kt
@@ -0,0 +1,113 @@
+package samphirechute.routing.flow
+
+import samphirechute.routing.Grant
+
+/** The times after which a request can no longer be answered before its deadline, or an attempt counts as silent. */
+internal class FlowTimes(
+    private val request: FlowRequest,
+) {
+    private var lastGrant: Grant? = null
+
+    fun noteGrant(grant: Grant) {
+        lastGrant = grant
+    }
+
+    /** The expected time from dispatch to the end of the answer, of which [nextOffset] tokens were delivered. */
+    fun neededMs(
+        grant: Grant,
+        nextOffset: Long,
+    ) = grant.expectedFirstTokenMs + afterFirstTokenMs(grant, nextOffset)
+
+    /** The least time that a further attempt takes, judged by the last grant. */
+    fun leastRunMs(nextOffset: Long) = lastGrant?.let { neededMs(it, nextOffset) } ?: request.leastRunMs
+
+    fun latestGrantMs(nextOffset: Long) = request.deadlineMs - leastRunMs(nextOffset)
+
+    /** What has fallen due in [state]; null when nothing has. */
+    fun expired(
+        state: FlowState,
+        nextOffset: Long,
+        nowMs: Long,
+    ): FlowTimeout? =
+        when (state) {
+            is FlowState.Claiming -> {
+                FlowTimeout.ASK_CLAIM_AGAIN.takeIf { hasPassed(state.askAgainMs, nowMs) }
+            }
+
+            is FlowState.AwaitingGrant -> {
+                when {
+                    nowMs > latestGrantMs(nextOffset) -> FlowTimeout.GRANT_TOO_LATE
+                    hasPassed(state.askAgainMs, nowMs) -> FlowTimeout.ASK_GRANT_AGAIN
+                    else -> null
+                }
+            }
+
+            is FlowState.Dispatched -> {
+                when {
+                    nowMs >= silentAtMs(state.attempt) -> FlowTimeout.SILENT
+                    nowMs > latestFirstTokenMs(state.attempt) -> FlowTimeout.FIRST_TOKEN_TOO_LATE
+                    else -> null
+                }
+            }
+
+            is FlowState.Streaming -> {
+                FlowTimeout.SILENT.takeIf { nowMs >= silentAtMs(state.attempt) }
+            }
+
+            FlowState.Accepted, is FlowState.Recording, is FlowState.Finished -> {
+                null
+            }
+        }
+
+    /** The latest time at which a flow in [state] needs its next input. */
+    fun nextDueMs(
+        state: FlowState,
+        nextOffset: Long,
+    ): Long {
+        val dueMs =
+            when (state) {
+                FlowState.Accepted, is FlowState.Recording -> {
+                    request.deadlineMs
+                }
+
+                is FlowState.Claiming -> {
+                    state.askAgainMs ?: request.deadlineMs
+                }
+
+                is FlowState.AwaitingGrant -> {
+                    minOf(
+                        state.askAgainMs ?: request.deadlineMs,
+                        latestGrantMs(nextOffset) + 1,
+                    )
+                }
+
+                is FlowState.Dispatched -> {
+                    minOf(silentAtMs(state.attempt), latestFirstTokenMs(state.attempt) + 1)
+                }
+
+                is FlowState.Streaming -> {
+                    silentAtMs(state.attempt)
+                }
+
+                is FlowState.Finished -> {
+                    return Long.MAX_VALUE
+                }
+            }
+        return minOf(dueMs, request.deadlineMs)
+    }
+
+    private fun latestFirstTokenMs(attempt: Attempt) =
+        request.deadlineMs - afterFirstTokenMs(attempt.grant, attempt.startOffset)
+
+    private fun silentAtMs(attempt: Attempt) = SilenceLimit.silentAtMs(attempt, request)
+
+    private fun hasPassed(
+        dueMs: Long?,
+        nowMs: Long,
+    ) = dueMs != null && nowMs >= dueMs
+
+    private fun afterFirstTokenMs(
+        grant: Grant,
+        nextOffset: Long,
+    ) = ((request.expectedTokens - nextOffset - 1).coerceAtLeast(0) * grant.expectedTokenMs).toLong()
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/GrantHold.kt
@@ -0,0 +1,38 @@
+package samphirechute.routing.flow
+
+import samphirechute.routing.Grant
+import samphirechute.routing.GrantEnding
+import samphirechute.routing.GrantResult
+
+/** Follows the grants of one request, so that each one that arrives is released once. */
+internal class GrantHold {
+    private val seen = mutableSetOf<Grant>()
+    private val abandoned = mutableMapOf<Int, Grant>()
+    private var held: Grant? = null
+
+    /** False for a repeat of a grant that arrived before. */
+    fun isNew(grant: Grant) = seen.add(grant)
+
+    fun hold(grant: Grant) {
+        check(held == null) { "a grant of attempt ${held?.key?.attempt} is still held" }
+        held = grant
+    }
+
+    fun release(
+        attempt: Attempt,
+        ending: GrantEnding,
+        nextOffset: Long,
+    ): FlowOutput {
+        check(held == attempt.grant) { "the grant of attempt ${attempt.number} is not held" }
+        held = null
+        if (ending != GrantEnding.COMPLETED) abandoned[attempt.number] = attempt.grant
+        return FlowOutput.ReleaseGrant(attempt.grant, attempt.result(ending, nextOffset))
+    }
+
+    fun releaseUnused(grant: Grant): FlowOutput = FlowOutput.ReleaseGrant(grant, GrantResult(GrantEnding.UNUSED))
+
+    /** An abandoned attempt still answers, so its cancellation was lost; it is repeated once. */
+    fun cancelAgain(attempt: Int): List<FlowOutput> =
+        abandoned.remove(attempt)?.let { listOf(FlowOutput.CancelAttempt(it, attempt, retireConnection = true)) }
+            ?: emptyList()
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/RequestFlow.kt
@@ -0,0 +1,337 @@
+package samphirechute.routing.flow
+
+import samphirechute.core.RunState
+import samphirechute.core.UpstreamId
+import samphirechute.routing.Grant
+import samphirechute.routing.GrantEnding
+import samphirechute.routing.RefusalReason
+
+/**
+ * Decides the course of one request on the entry instance that accepted it: claim, grant, attempts at upstreams,
+ * answer and outcome. The answer is delivered without gaps and repeats, each grant is released once, and the request
+ * gets its final answer by its deadline, provided that [FlowInput.Ticked] is passed to [handle] at [nextDueMs].
+ */
+class RequestFlow(
+    private val request: FlowRequest,
+    private val budget: RetryBudget,
+    private val health: UpstreamHealth,
+) {
+    var state: FlowState = FlowState.Accepted
+        private set
+
+    /** The latest time at which the flow needs its next input. */
+    val nextDueMs: Long get() = times.nextDueMs(state, answer.nextOffset)
+
+    private var out = mutableListOf<FlowOutput>()
+    private val times = FlowTimes(request)
+    private val answer = AnswerAssembly(request.id.value)
+    private val claim = ClaimHold()
+    private val grants = GrantHold()
+    private val tried = mutableSetOf<UpstreamId>()
+
+    /** The attempts of which an upstream may have run a part. */
+    private val sentAttempts = mutableSetOf<Int>()
+
+    fun handle(
+        input: FlowInput,
+        nowMs: Long,
+    ): List<FlowOutput> {
+        out = mutableListOf()
+        if (nowMs >= request.deadlineMs) stop(FlowCode.DEADLINE_EXCEEDED, "the deadline has passed")
+        when (input) {
+            FlowInput.Started -> start(nowMs)
+            is FlowInput.ClaimAnswered -> claimAnswered(input.answer, nowMs)
+            is FlowInput.Granted -> granted(input.grant, nowMs)
+            is FlowInput.GrantRefused -> grantRefused(input, nowMs)
+            is FlowInput.BytesSent -> bytesSent(input.attempt, nowMs)
+            is FlowInput.TokensArrived -> tokensArrived(input, nowMs)
+            is FlowInput.AnswerEnded -> answerEnded(input, nowMs)
+            is FlowInput.AttemptFailed -> attemptFailed(input, nowMs)
+            is FlowInput.OutcomeRecorded -> (state as? FlowState.Recording)?.let { finish(it.outcome) }
+            FlowInput.CallerGone -> if (!request.runsOnWithoutCaller) stop(FlowCode.CALLER_GONE, "the caller left")
+            FlowInput.Ticked -> ticked(nowMs)
+        }
+        return out
+    }
+
+    private fun start(nowMs: Long) {
+        if (state != FlowState.Accepted) return
+        if (request.isNonRepeatable) askClaim() else askGrant(FIRST_ATTEMPT, nowMs)
+    }
+
+    private fun askClaim() {
+        state = FlowState.Claiming()
+        out += claim.ask()
+    }
+
+    private fun claimAnswered(
+        claimAnswer: ClaimAnswer,
+        nowMs: Long,
+    ) {
+        val isAwaited = state is FlowState.Claiming
+        out += claim.answered(claimAnswer, isAwaited)
+        if (!isAwaited) return
+        when (claimAnswer) {
+            ClaimAnswer.Accepted -> {
+                askGrant(FIRST_ATTEMPT, nowMs)
+            }
+
+            is ClaimAnswer.InProgress -> {
+                state = FlowState.Claiming(nowMs + clampedWait(claimAnswer.retryAfterMs))
+            }
+
+            else -> {
+                finish(claimAnswer.toOutcome())
+            }
+        }
+    }
+
+    private fun askGrant(
+        attempt: Int,
+        nowMs: Long,
+    ) {
+        state = FlowState.AwaitingGrant(attempt)
+        val unhealthy = health.excludedFor(request.id, mayProbe = !request.isNonRepeatable, nowMs)
+        out += FlowOutput.AskGrant(attempt, unhealthy + tried)
+    }
+
+    private fun granted(
+        grant: Grant,
+        nowMs: Long,
+    ) {
+        if (!grants.isNew(grant)) return
+        val attempt = (state as? FlowState.AwaitingGrant)?.attempt
+        if (attempt != grant.key.attempt) {
+            out += grants.releaseUnused(grant)
+            return
+        }
+        val neededMs = times.neededMs(grant, answer.nextOffset)
+        if (nowMs + neededMs > request.deadlineMs) {
+            out += grants.releaseUnused(grant)
+            giveUp(FlowCode.DEADLINE_UNREACHABLE, "the answer would take $neededMs ms, more than remains")
+            return
+        }
+        times.noteGrant(grant)
+        health.chose(request.id, grant.primary.upstream)
+        tried += grant.primary.upstream
+        grants.hold(grant)
+        state = FlowState.Dispatched(Attempt(grant, attempt, answer.nextOffset, nowMs))
+        // A pooled connection may have gone silent; where no retry can follow, only a fresh one is used.
+        val needsFresh = request.isNonRepeatable || attempt > FIRST_ATTEMPT
+        out += FlowOutput.Dispatch(grant, attempt, answer.nextOffset, needsFresh)
+    }
+
+    private fun grantRefused(
+        refusal: FlowInput.GrantRefused,
+        nowMs: Long,
+    ) {
+        val waiting = state as? FlowState.AwaitingGrant ?: return
+        if (waiting.attempt != refusal.attempt || waiting.askAgainMs != null) return
+        health.chose(request.id, null)
+        val againMs = nowMs + clampedWait(refusal.retryAfterMs)
+        val isWorthWaiting = waiting.attempt > FIRST_ATTEMPT && refusal.reason in PASSING_REASONS
+        if (isWorthWaiting && againMs <= times.latestGrantMs(answer.nextOffset)) {
+            state = waiting.copy(askAgainMs = againMs)
+            return
+        }
+        val reason = refusal.reason.name.lowercase()
+        giveUp(FlowCode.NO_CAPACITY, "no upstream has room for the request: $reason", refusal.retryAfterMs)
+    }
+
+    private fun bytesSent(
+        number: Int,
+        nowMs: Long,
+    ) {
+        val attempt = (state as? FlowState.Dispatched)?.attempt?.takeIf { it.number == number } ?: return
+        sentAttempts += number
+        if (!attempt.isSent) state = FlowState.Dispatched(attempt.copy(isSent = true, lastActiveMs = nowMs))
+    }
+
+    private fun tokensArrived(
+        tokens: FlowInput.TokensArrived,
+        nowMs: Long,
+    ) {
+        val current = current(tokens.attempt) ?: return cancelLate(tokens.attempt)
+        sentAttempts += tokens.attempt
+        val offset = answer.nextOffset
+        val fresh = answer.accept(tokens) ?: return lose(current, GrantEnding.FAILED, nowMs)
+        val attempt = current.advancedTo(tokens.offset + tokens.texts.size, nowMs)
+        if (current.firstTokenAtMs == null) health.recordSuccess(attempt.grant.primary.upstream)
+        if (fresh.isNotEmpty()) out += FlowOutput.Deliver(offset, fresh)
+        state = FlowState.Streaming(attempt, answer.nextOffset)
+    }
+
+    private fun answerEnded(
+        end: FlowInput.AnswerEnded,
+        nowMs: Long,
+    ) {
+        val attempt = current(end.attempt) ?: return cancelLate(end.attempt)
+        sentAttempts += end.attempt
+        if (!answer.isWhole(end)) return lose(attempt, GrantEnding.FAILED, nowMs)
+        out += grants.release(attempt, GrantEnding.COMPLETED, answer.nextOffset)
+        health.recordSuccess(attempt.grant.primary.upstream)
+        budget.recordSuccess(nowMs)
+        val outcome = FlowOutcome(RunState.RAN, null, null)
+        if (request.isNonRepeatable) {
+            state = FlowState.Recording(outcome)
+            out += claim.record(outcome)
+        } else {
+            finish(outcome)
+        }
+    }
+
+    private fun attemptFailed(
+        failed: FlowInput.AttemptFailed,
+        nowMs: Long,
+    ) {
+        val attempt = current(failed.attempt) ?: return
+        // A refusal proves that nothing ran only when it names the request and comes before any token.
+        val isRefusal = failed.failure == AttemptFailure.REFUSED && failed.requestId == request.id.value
+        if (!isRefusal || attempt.firstTokenAtMs != null) return lose(attempt, GrantEnding.FAILED, nowMs)
+        sentAttempts -= attempt.number
+        out += grants.release(attempt, GrantEnding.REFUSED, answer.nextOffset)
+        retryOrGiveUp(attempt, FlowCode.UPSTREAM_REFUSED, "the upstream refused the request", nowMs)
+    }
+
+    /** Ends an attempt that cannot be expected to give the rest of the answer. */
+    private fun lose(
+        attempt: Attempt,
+        ending: GrantEnding,
+        nowMs: Long,
+    ) {
+        health.recordFailure(attempt.grant.primary.upstream, nowMs)
+        if (attempt.number in sentAttempts) {
+            abandon(attempt, ending)
+            retryOrGiveUp(attempt, FlowCode.UPSTREAM_FAILED, "the answer of the upstream was lost", nowMs)
+        } else {
+            abandon(attempt, GrantEnding.UNUSED)
+            retryOrGiveUp(attempt, FlowCode.UPSTREAM_UNREACHABLE, "the upstream could not be reached", nowMs)
+        }
+    }
+
+    private fun abandon(
+        attempt: Attempt,
+        ending: GrantEnding,
+    ) {
+        out += FlowOutput.CancelAttempt(attempt.grant, attempt.number, ending != GrantEnding.CANCELLED)
+        out += grants.release(attempt, ending, answer.nextOffset)
+    }
+
+    private fun retryOrGiveUp(
+        attempt: Attempt,
+        code: String,
+        message: String,
+        nowMs: Long,
+    ) {
+        val isInTime = nowMs <= times.latestGrantMs(answer.nextOffset)
+        if (!request.isNonRepeatable && isInTime && attempt.number < MAX_ATTEMPTS && budget.tryTake(nowMs)) {
+            out += FlowOutput.Noted("attempt_retried", mapOf("attempt" to attempt.number.toString(), "reason" to code))
+            askGrant(attempt.number + 1, nowMs)
+        } else {
+            giveUp(code, message)
+        }
+    }
+
+    private fun cancelLate(number: Int) {
+        out += grants.cancelAgain(number)
+    }
+
+    private fun ticked(nowMs: Long) {
+        when (times.expired(state, answer.nextOffset, nowMs)) {
+            FlowTimeout.ASK_CLAIM_AGAIN -> {
+                askClaim()
+            }
+
+            FlowTimeout.ASK_GRANT_AGAIN -> {
+                (state as? FlowState.AwaitingGrant)?.let { askGrant(it.attempt, nowMs) }
+            }
+
+            FlowTimeout.GRANT_TOO_LATE -> {
+                stop(FlowCode.DEADLINE_UNREACHABLE, "no upstream was free in time")
+            }
+
+            FlowTimeout.FIRST_TOKEN_TOO_LATE -> {
+                stop(FlowCode.DEADLINE_UNREACHABLE, "the first token is too late")
+            }
+
+            FlowTimeout.SILENT -> {
+                attempt()?.let { lose(it, GrantEnding.SILENT, nowMs) }
+            }
+
+            null -> {}
+        }
+    }
+
+    /** Ends the request in whatever state it is; a whole answer stays one. */
+    private fun stop(
+        code: String,
+        message: String,
+    ) {
+        when (val current = state) {
+            is FlowState.Finished -> {
+                return
+            }
+
+            is FlowState.Recording -> {
+                return finish(current.outcome)
+            }
+
+            is FlowState.AwaitingGrant -> {
+                out += FlowOutput.WithdrawGrant(current.attempt)
+            }
+
+            is FlowState.Dispatched -> {
+                abandon(current.attempt, GrantEnding.CANCELLED)
+            }
+
+            is FlowState.Streaming -> {
+                abandon(current.attempt, GrantEnding.CANCELLED)
+            }
+
+            FlowState.Accepted, is FlowState.Claiming -> {}
+        }
+        giveUp(code, message)
+    }
+
+    /** Tells the caller that the request ends without its whole answer. */
+    private fun giveUp(
+        code: String,
+        message: String,
+        retryAfterMs: Long = RETRY_AFTER_MS,
+    ) {
+        val runState = if (sentAttempts.isEmpty()) RunState.NOT_RUN else RunState.UNKNOWN
+        val isLost = request.isNonRepeatable && runState == RunState.UNKNOWN
+        val outcome =
+            when {
+                claim.isRunningElsewhere -> inProgressOutcome(retryAfterMs)
+                isLost -> FlowOutcome(runState, FlowCode.OUTCOME_UNKNOWN, message, retryAfterMs)
+                else -> FlowOutcome(runState, code, message, retryAfterMs)
+            }
+        finish(outcome)
+    }
+
+    private fun finish(outcome: FlowOutcome) {
+        health.chose(request.id, null)
+        state = FlowState.Finished(outcome)
+        out += claim.settle(outcome)
+        out += FlowOutput.Finish(outcome)
+    }
+
+    private fun attempt(): Attempt? =
+        (state as? FlowState.Dispatched)?.attempt ?: (state as? FlowState.Streaming)?.attempt
+
+    private fun current(number: Int) = attempt()?.takeIf { it.number == number }
+
+    private fun clampedWait(waitMs: Long) = waitMs.coerceIn(SHORTEST_WAIT_MS, LONGEST_WAIT_MS)
+
+    private companion object {
+        const val FIRST_ATTEMPT = 1
+        const val MAX_ATTEMPTS = 4
+        const val RETRY_AFTER_MS = 1_000L
+        const val SHORTEST_WAIT_MS = 50L
+        const val LONGEST_WAIT_MS = 1_000L
+
+        /** Refusals that end by themselves: a new coordinator is elected, the queue drains. */
+        val PASSING_REASONS = setOf(RefusalReason.NOT_COORDINATOR, RefusalReason.QUEUE_FULL)
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/RetryBudget.kt
@@ -0,0 +1,53 @@
+package samphirechute.routing.flow
+
+/**
+ * Limits the retries of one instance to a share of its recent successes plus a small floor. When a third of the
+ * fleet goes at once, the retries of its requests thus add at most that share to the load of the rest. Successes and
+ * retries are counted in slots of one second; a slot leaves the window as a whole.
+ */
+class RetryBudget(
+    private val share: Double = DEFAULT_SHARE,
+    private val floor: Int = DEFAULT_FLOOR,
+) {
+    private val slots = Array(WINDOW_SLOTS) { Slot() }
+
+    fun recordSuccess(nowMs: Long) {
+        slotAt(nowMs).successes++
+    }
+
+    /** Takes one retry from the budget; false when it is used up. */
+    fun tryTake(nowMs: Long): Boolean {
+        val slot = slotAt(nowMs)
+        val oldest = nowMs / SLOT_MS - WINDOW_SLOTS
+        val recent = slots.filter { it.index > oldest }
+        if (recent.sumOf { it.retries } >= floor + share * recent.sumOf { it.successes }) return false
+        slot.retries++
+        return true
+    }
+
+    private fun slotAt(nowMs: Long): Slot {
+        val index = nowMs / SLOT_MS
+        val slot = slots[index.mod(WINDOW_SLOTS)]
+        if (slot.index != index) {
+            slot.index = index
+            slot.successes = 0
+            slot.retries = 0
+        }
+        return slot
+    }
+
+    private class Slot(
+        var index: Long = Long.MIN_VALUE,
+        var successes: Long = 0,
+        var retries: Long = 0,
+    )
+
+    companion object {
+        const val DEFAULT_SHARE = 0.1
+
+        /** Enough for an idle instance to survive the loss of one upstream without refusing its few requests. */
+        const val DEFAULT_FLOOR = 10
+        private const val SLOT_MS = 1_000L
+        private const val WINDOW_SLOTS = 10
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/RetryBudgetSpec.kt
@@ -0,0 +1,30 @@
+package samphirechute.routing.flow
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class RetryBudgetSpec {
+    @Nested
+    inner class Limit {
+        /** Guards against a retry storm, and against an idle instance that cannot retry at all. */
+        @Test
+        fun `retries are a tenth of the recent successes plus the floor`() {
+            for ((successes, expected) in listOf(0 to 10, 100 to 20, 1_000 to 110)) {
+                val budget = RetryBudget()
+                repeat(successes) { budget.recordSuccess(nowMs = 500) }
+                assertEquals(expected, (1..500).count { budget.tryTake(nowMs = 1_500) }, "$successes successes")
+            }
+        }
+
+        /** Guards against a budget that lives on successes of long ago, or that never comes back. */
+        @Test
+        fun `successes and retries leave the window after ten seconds`() {
+            val budget = RetryBudget()
+            repeat(1_000) { budget.recordSuccess(nowMs = 0) }
+            assertEquals(110, (1..500).count { budget.tryTake(nowMs = 9_999) })
+            assertEquals(0, (1..500).count { budget.tryTake(nowMs = 10_000) })
+            assertEquals(10, (1..500).count { budget.tryTake(nowMs = 19_000) })
+        }
+    }
+}
