--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/lease/LeaseTimes.kt
@@ -0,0 +1,21 @@
+package samphirechute.state.lease
+
+/** How long a vote binds its voter, by the voter's clock. */
+const val VOTE_MS = 2_000L
+
+/** The holder stops this much before its votes end, which covers clock rate error and scheduling delay. */
+const val LEASE_MARGIN_MS = 200L
+
+const val RENEWAL_MS = 500L
+
+internal const val MIN_CANDIDACY_DELAY_MS = 150L
+internal const val MAX_CANDIDACY_DELAY_MS = 450L
+
+/** A candidate without a majority after this long releases its votes, so that they do not block the next candidate. */
+internal const val CAMPAIGN_MS = 300L
+
+/**
+ * The most that a voter's clock advances between two inputs. A longer step is a pause or a jump of the clock; the
+ * voter cannot tell which, and a vote that ends late is safe while one that ends early is not.
+ */
+internal const val MAX_STEP_MS = 200L
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/lease/Voter.kt
@@ -0,0 +1,98 @@
+package samphirechute.state.lease
+
+/** The voting side of the lease: at most one vote is in force at any time. */
+internal class Voter(
+    private val settings: LeaseSettings,
+) {
+    private var clockMs = 0L
+    private var lastNowMs: Long? = null
+    private var vote: LeaseHolder? = null
+    private var voteUntilMs = 0L
+    private var lastRound = 0L
+    private var known: LeaseHolder? = null
+    private var knownUntilMs = 0L
+
+    var highestEpoch = settings.incarnation
+        private set
+
+    /** True when no vote is in force and the wait after the start is over. */
+    val isFree: Boolean get() = clockMs >= VOTE_MS && (vote == null || clockMs >= voteUntilMs)
+
+    val knownHolder: LeaseHolder? get() = known?.takeIf { clockMs < knownUntilMs }
+
+    fun advance(nowMs: Long) {
+        clockMs += (nowMs - (lastNowMs ?: nowMs)).coerceIn(0, MAX_STEP_MS)
+        lastNowMs = nowMs
+    }
+
+    fun seeEpoch(epoch: Long) {
+        highestEpoch = maxOf(highestEpoch, epoch)
+    }
+
+    fun onProbe(probe: LeaseMessage.Probe) = answer(probe.candidate, probe.round, isAllowed(probe.candidate), true)
+
+    fun onAsk(ask: LeaseMessage.Ask): LeaseMessage.Vote {
+        val isGranted = isAllowed(ask.candidate)
+        if (isGranted) {
+            val isRepeat = vote == ask.candidate && ask.round <= lastRound && clockMs < voteUntilMs
+            // A repeated or overtaken request is answered, but does not extend the vote.
+            if (!isRepeat) {
+                voteUntilMs = clockMs + VOTE_MS
+                lastRound = ask.round
+            }
+            vote = ask.candidate
+            seeEpoch(ask.candidate.epoch)
+            if (ask.isHolding && !isRepeat) know(ask.candidate, VOTE_MS)
+        }
+        return answer(ask.candidate, ask.round, isGranted, false)
+    }
+
+    /** Returns true when the release freed this voter or took away the holder it knew. */
+    fun onRelease(released: LeaseHolder): Boolean {
+        seeEpoch(released.epoch)
+        val isVoteFreed = vote?.isReleasedBy(released) == true
+        if (isVoteFreed) vote = null
+        val isKnownGone = knownHolder?.isReleasedBy(released) == true
+        if (isKnownGone) known = null
+        return isVoteFreed || isKnownGone
+    }
+
+    fun know(
+        holder: LeaseHolder,
+        leftMs: Long,
+    ) {
+        val current = knownHolder
+        if (current != null && current.epoch > holder.epoch) return
+        known = holder
+        knownUntilMs = clockMs + leftMs.coerceAtMost(VOTE_MS)
+    }
+
+    private fun isAllowed(candidate: LeaseHolder): Boolean {
+        if (clockMs < VOTE_MS) return false
+        val current = vote
+        val isSame = current != null && current.isSameProcess(candidate)
+        if (!isFree && !isSame) return false
+        return candidate.epoch > highestEpoch || current == candidate
+    }
+
+    private fun answer(
+        candidate: LeaseHolder,
+        round: Long,
+        isGranted: Boolean,
+        isProbe: Boolean,
+    ): LeaseMessage.Vote {
+        val holder = if (isGranted) null else knownHolder
+        return LeaseMessage.Vote(
+            voter = settings.self,
+            epoch = candidate.epoch,
+            round = round,
+            isGranted = isGranted,
+            isProbe = isProbe,
+            highestEpoch = if (isGranted) 0 else highestEpoch,
+            known = holder,
+            knownLeftMs = if (holder == null) 0 else knownUntilMs - clockMs,
+        )
+    }
+}
+
+private fun LeaseHolder.isReleasedBy(released: LeaseHolder) = isSameProcess(released) && epoch <= released.epoch
