Add pairwise synchronisation and drains

Cause: instances share the configuration, drains, digests and members without an external store. Change: SyncNode over Drains, ConfigurationHistory, MemberTable and DigestTable, with readiness after a start.

--- a/state/src/main/kotlin/samphirechute/state/lease/LeaseTimes.kt
+++ b/state/src/main/kotlin/samphirechute/state/lease/LeaseTimes.kt
@@ -13,9 +13,3 @@
 
 /** A candidate without a majority after this long releases its votes, so that they do not block the next candidate. */
 internal const val CAMPAIGN_MS = 300L
-
-/**
- * The most that a voter's clock advances between two inputs. A longer step is a pause or a jump of the clock; the
- * voter cannot tell which, and a vote that ends late is safe while one that ends early is not.
- */
-internal const val MAX_STEP_MS = 200L
--- a/state/src/main/kotlin/samphirechute/state/lease/Voter.kt
+++ b/state/src/main/kotlin/samphirechute/state/lease/Voter.kt
@@ -1,11 +1,15 @@
 package samphirechute.state.lease
 
-/** The voting side of the lease: at most one vote is in force at any time. */
+import samphirechute.state.SteppedClock
+
+/**
+ * The voting side of the lease: at most one vote is in force at any time. Votes are counted on a [SteppedClock], since
+ * a vote that ends late is safe and one that ends early is not.
+ */
 internal class Voter(
     private val settings: LeaseSettings,
 ) {
-    private var clockMs = 0L
-    private var lastNowMs: Long? = null
+    private val clock = SteppedClock()
     private var vote: LeaseHolder? = null
     private var voteUntilMs = 0L
     private var lastRound = 0L
@@ -20,10 +24,9 @@
 
     val knownHolder: LeaseHolder? get() = known?.takeIf { clockMs < knownUntilMs }
 
-    fun advance(nowMs: Long) {
-        clockMs += (nowMs - (lastNowMs ?: nowMs)).coerceIn(0, MAX_STEP_MS)
-        lastNowMs = nowMs
-    }
+    private val clockMs: Long get() = clock.elapsedMs
+
+    fun advance(nowMs: Long) = clock.advance(nowMs)
 
     fun seeEpoch(epoch: Long) {
         highestEpoch = maxOf(highestEpoch, epoch)
@@ -43,6 +46,9 @@
             vote = ask.candidate
             seeEpoch(ask.candidate.epoch)
             if (ask.isHolding && !isRepeat) know(ask.candidate, VOTE_MS)
+        } else if (ask.isHolding && clockMs < VOTE_MS) {
+            // A voter that has just started refuses its vote, but learns the holder.
+            know(ask.candidate, VOTE_MS)
         }
         return answer(ask.candidate, ask.round, isGranted, false)
     }
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/sync/DomainDigest.kt
@@ -0,0 +1,32 @@
+package samphirechute.state.sync
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import samphirechute.core.FailureDomain
+import samphirechute.core.HostPort
+import samphirechute.core.InstanceId
+
+/** What the coordinator of a failure domain tells all instances; [payload] is not interpreted here. */
+@Serializable
+data class DomainDigest(
+    @SerialName("f") val failureDomain: FailureDomain,
+    @SerialName("e") val epoch: Long,
+    @SerialName("s") val sequence: Long,
+    @SerialName("n") val coordinator: InstanceId,
+    @SerialName("a") val address: HostPort,
+    @SerialName("p") val payload: JsonElement = JsonNull,
+    @SerialName("g") val ageMs: Long = 0,
+) {
+    internal val version: DigestVersion get() = DigestVersion(epoch, sequence)
+}
+
+/** Orders the digests of one failure domain. */
+@Serializable
+data class DigestVersion(
+    @SerialName("e") val epoch: Long = 0,
+    @SerialName("s") val sequence: Long = 0,
+) : Comparable<DigestVersion> {
+    override fun compareTo(other: DigestVersion) = compareValuesBy(this, other, { it.epoch }, { it.sequence })
+}
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncState.kt
@@ -0,0 +1,127 @@
+package samphirechute.state.sync
+
+import samphirechute.state.drain.DrainInput
+import samphirechute.state.drain.DrainOutput
+import samphirechute.state.drain.Drains
+
+/** Everything that an instance synchronises, with what others lack of it. */
+internal class SyncState(
+    private val settings: SyncSettings,
+    private val drains: Drains,
+) {
+    val configuration = ConfigurationHistory()
+    val members = MemberTable(settings.self)
+    val digests = DigestTable()
+    var isLeaving = false
+    var isStoreCurrent = false
+    private var heartbeat = 0L
+
+    fun sender() =
+        SyncSender(
+            instance = settings.self,
+            incarnation = settings.incarnation,
+            heartbeat = heartbeat,
+            revision = configuration.revision,
+            drainVersion = drains.record.version,
+            overlayHash = drains.entriesHash,
+            memberHash = members.hash,
+            digests = digests.versions,
+            isLeaving = isLeaving,
+            isStoreCurrent = isStoreCurrent,
+        )
+
+    /** Advances the own heartbeat, and keeps the own row of the member table up to date. */
+    fun beat(): Member? {
+        heartbeat++
+        return refreshOwnRow()
+    }
+
+    fun refreshOwnRow(): Member? =
+        members.merge(
+            settings.self,
+            MemberRow(settings.incarnation, heartbeat, configuration.revision, isLeaving),
+        )
+
+    /** What [peer] lacks, judging by its latest message. Digests go into replies, and as relays only where asked for. */
+    fun lackedBy(
+        peer: PeerState,
+        nowMs: Long,
+        withDigests: Boolean,
+    ): SyncData {
+        val known = peer.known ?: return SyncData()
+        val isOwnDomain = peer.peer.failureDomain == settings.failureDomain
+        val isSameTable = known.memberHash == members.hash
+        return SyncData(
+            configuration = configuration.updateFrom(known.revision),
+            drains = drains.record.takeIf { it.version > known.drainVersion },
+            overlay = if (known.overlayHash == drains.entriesHash) emptyList() else drains.entries.toList(),
+            members = if (isOwnDomain && !isSameTable) members.rows else emptyMap(),
+            heartbeats = if (isOwnDomain && isSameTable) newHeartbeats(peer) else emptyMap(),
+            digests = if (withDigests) digests.all(nowMs).filter { it.isNewerThan(known) } else emptyList(),
+        )
+    }
+
+    fun ownDigestFor(
+        peer: PeerState,
+        nowMs: Long,
+    ): List<DomainDigest> {
+        val known = peer.known
+        return digests
+            .all(nowMs)
+            .filter { it.failureDomain == settings.failureDomain && (known == null || it.isNewerThan(known)) }
+    }
+
+    /** Takes in what another instance told. Returns the outputs, and whether it was news to pass on. */
+    fun absorb(
+        message: SyncMessage,
+        isOwnDomain: Boolean,
+        nowMs: Long,
+    ): Absorbed {
+        val outputs = mutableListOf<SyncOutput>()
+        val data = message.data
+        val isConfigured = data.configuration?.let(configuration::apply) == true
+        if (isConfigured) outputs += SyncOutput.ConfigurationApplied(configuration.current)
+        val drainOutputs = mutableListOf<DrainOutput>()
+        data.drains?.let { drainOutputs += drains.handle(DrainInput.RecordLearned(it), nowMs) }
+        if (data.overlay.isNotEmpty()) drainOutputs += drains.handle(DrainInput.EntriesLearned(data.overlay), nowMs)
+        if (isOwnDomain) outputs += mergeMembers(message).map { SyncOutput.MemberChanged(it) }
+        if (data.digests.count { digests.put(it, nowMs) } > 0) outputs += SyncOutput.DigestsChanged(digests.all(nowMs))
+        outputs += drainOutputs.mapNotNull { it.toSyncOutput() }
+        return Absorbed(outputs, isConfigured || DrainOutput.Spread in drainOutputs)
+    }
+
+    private fun mergeMembers(message: SyncMessage): List<Member> {
+        val sender = message.sender
+        val isSameTable = sender.memberHash == members.hash
+        val row = MemberRow(sender.incarnation, sender.heartbeat, sender.revision, sender.isLeaving)
+        val changed = mutableListOf(members.merge(sender.instance, row))
+        message.data.members.mapTo(changed) { (id, it) -> if (id == settings.self) null else members.merge(id, it) }
+        if (isSameTable) {
+            message.data.heartbeats.mapTo(changed) { (id, it) ->
+                if (id == settings.self) null else members.mergeHeartbeat(id, it)
+            }
+        }
+        return changed.filterNotNull()
+    }
+
+    private fun newHeartbeats(peer: PeerState) =
+        members.heartbeats.filter { (id, heartbeat) ->
+            id != settings.self && id != peer.instance && heartbeat > (peer.toldHeartbeats[id] ?: 0)
+        }
+}
+
+internal class Absorbed(
+    val outputs: List<SyncOutput>,
+    val isNews: Boolean,
+)
+
+internal fun DrainOutput.toSyncOutput(): SyncOutput? =
+    when (this) {
+        is DrainOutput.Changed -> SyncOutput.DrainsChanged(targets)
+        is DrainOutput.Commit -> SyncOutput.CommitDrain(command)
+        is DrainOutput.UndrainSettled -> SyncOutput.UndrainSettled(this)
+        DrainOutput.Spread -> null
+    }
+
+private fun DomainDigest.isNewerThan(known: SyncSender) =
+    known.digests[failureDomain].let { it == null || version > it }
