Read settings and service files with one clear error for each fault

The daemon and `samphirectl` need the same checks. `ServiceFileReader` and `SettingsReader` read TOML through Jackson and report every fault at once with file, line, field and the accepted form; a key that is not known is an error with the nearest known key. Jackson gives positions for syntax errors only, so `KeyLines` finds the lines of headers and keys in the text.

Decided: `never_repeat` is refused for documents, since a document may run twice, and so is a document without a model; an empty `never_repeat` table is refused, as `path = "/"` says the same on purpose.

--- /dev/null
+++ b/core/src/main/kotlin/samphirechute/core/toml/TomlTable.kt
@@ -0,0 +1,155 @@
+package samphirechute.core.toml
+
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ObjectNode
+
+/**
+ * Reads the fields of one TOML table and collects an error for each that is missing or has another form. Every field
+ * that was asked for is known; [rejectUnknown] reports the others. A getter gives null after it reported an error.
+ */
+internal class TomlTable(
+    private val node: ObjectNode,
+    private val path: String,
+    private val source: TomlSource,
+) {
+    private val known = LinkedHashSet<String>()
+
+    /** Remembers [keys] as known without reading them. */
+    fun know(vararg keys: String) {
+        known += keys
+    }
+
+    fun has(key: String): Boolean {
+        known += key
+        return node.has(key)
+    }
+
+    fun text(
+        key: String,
+        accepted: String,
+        isValid: (String) -> Boolean,
+    ): String? = required(key, accepted) { optionalText(key, accepted, isValid) }
+
+    fun optionalText(
+        key: String,
+        accepted: String,
+        isValid: (String) -> Boolean,
+    ): String? {
+        val value = value(key) ?: return null
+        if (!value.isTextual) return report(key, "is not a string", accepted)
+        val text = value.textValue()
+        return if (isValid(text)) text else report(key, "has the value \"${shortened(text)}\"", accepted)
+    }
+
+    fun number(
+        key: String,
+        range: LongRange,
+        unit: String,
+    ): Long? = required(key, accepted(range, unit)) { optionalNumber(key, range, unit) }
+
+    fun optionalNumber(
+        key: String,
+        range: LongRange,
+        unit: String,
+    ): Long? {
+        val value = value(key) ?: return null
+        val accepted = accepted(range, unit)
+        if (!value.isIntegralNumber) return report(key, "is not a whole number", accepted)
+        val isInRange = value.canConvertToLong() && value.longValue() in range
+        return if (isInRange) value.longValue() else report(key, "has the value $value", accepted)
+    }
+
+    fun optionalFlag(key: String): Boolean? {
+        val value = value(key) ?: return null
+        return if (value.isBoolean) value.booleanValue() else report(key, "is not a truth value", "true or false")
+    }
+
+    /** One of [choices], by name; [default] when the key is absent. */
+    fun <E : Any> choice(
+        key: String,
+        choices: Map<String, E>,
+        default: E,
+    ): E? {
+        if (!has(key)) return default
+        val accepted = choices.keys.joinToString(" or ") { "\"$it\"" }
+        return optionalText(key, accepted) { it in choices }?.let { choices.getValue(it) }
+    }
+
+    fun isTable(key: String) = value(key) is ObjectNode
+
+    /** A string whose value no message repeats. */
+    fun optionalSecret(
+        key: String,
+        accepted: String,
+    ): String? {
+        val value = value(key) ?: return null
+        return if (value.isTextual) value.textValue() else report(key, "is not a string", accepted)
+    }
+
+    fun optionalTable(key: String): TomlTable? {
+        val value = value(key) ?: return null
+        if (value !is ObjectNode) return report(key, "is not a table", "a table [${pathOf(key)}]")
+        return TomlTable(value, pathOf(key), source)
+    }
+
+    /** The tables of an array of tables, empty when the key is absent. */
+    fun tables(key: String): List<TomlTable> {
+        val value = value(key) ?: return emptyList()
+        val accepted = "one [[${pathOf(key)}]] table for each"
+        if (!value.isArray) return report(key, "is not an array of tables", accepted) ?: emptyList()
+        return value.mapIndexedNotNull { index, element ->
+            val elementPath = "${pathOf(key)}[$index]"
+            when (element) {
+                is ObjectNode -> TomlTable(element, elementPath, source)
+                else -> null.also { source.report(elementPath, "is not a table", accepted) }
+            }
+        }
+    }
+
+    fun report(
+        key: String,
+        problem: String,
+        accepted: String,
+    ): Nothing? {
+        source.report(pathOf(key), problem, accepted)
+        return null
+    }
+
+    /** An error of the table as a whole. */
+    fun reportTable(
+        problem: String,
+        accepted: String,
+    ) = source.report(path.ifEmpty { null }, problem, accepted)
+
+    fun rejectUnknown() {
+        node.fieldNames().asSequence().filter { it !in known }.forEach { key ->
+            val nearest = nearestName(key, known)
+            val accepted = nearest?.let { "did you mean '$it'?" } ?: known.sorted().joinToString(", ")
+            report(key, "is not a known key", accepted)
+        }
+    }
+
+    private fun value(key: String): JsonNode? {
+        known += key
+        return node.get(key)
+    }
+
+    private fun <T : Any> required(
+        key: String,
+        accepted: String,
+        read: () -> T?,
+    ): T? = if (has(key)) read() else report(key, "is missing", accepted)
+
+    private fun pathOf(key: String) = if (path.isEmpty()) key else "$path.$key"
+
+    private fun accepted(
+        range: LongRange,
+        unit: String,
+    ) = "a whole number of $unit from ${range.first} to ${range.last}"
+
+    private fun shortened(text: String) = if (text.length <= MAX_SHOWN) text else text.take(MAX_SHOWN) + "..."
+
+    private companion object {
+        const val MAX_SHOWN = 60
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/samphirechute/core/service/ServiceFileReaderSpec.kt
@@ -0,0 +1,203 @@
+package samphirechute.core.service
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.io.TempDir
+import samphirechute.core.PoolName
+import samphirechute.core.ServiceName
+import samphirechute.core.TeamName
+import java.nio.file.Path
+import kotlin.io.path.createDirectory
+import kotlin.io.path.writeText
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class ServiceFileReaderSpec {
+    private val base = listOf("name = \"a\"", "team = \"t\"", "model = \"m\"", "first_token_ms = 5", "deadline_ms = 9")
+
+    /** The messages for the base file with the line of [replaced] left out and [added] put at its end. */
+    private fun messages(
+        replaced: String,
+        added: String,
+    ): List<String> {
+        val text = (base.filter { !it.startsWith("$replaced =") } + added).joinToString("\n")
+        return ServiceFileReader.parse("s.toml", text).fold({ emptyList() }, { errors -> errors.map { it.message } })
+    }
+
+    @Nested
+    inner class Accepted {
+        /** Guards against a field that is read into the wrong place or ignored. */
+        @Test
+        fun `a full file gives each field`() {
+            val text =
+                """
+                name = "orders"
+                team = "t"
+                application = "shop"
+                urgency = "interactive"
+                first_token_ms = 100
+                deadline_ms = 200
+                share = 3
+                [[never_repeat]]
+                method = "post"
+                path = "/orders"
+                [[never_repeat]]
+                kind = "order"
+                """.trimIndent()
+            val rules = listOf(RequestRule("POST", "/orders"), RequestRule(kind = "order"))
+            val target = ServiceTarget.Application(PoolName("shop"))
+            val mode = ServiceMode.ANSWER
+            val expected =
+                ServiceSpec(ServiceName("orders"), TeamName("t"), target, mode, Urgency.INTERACTIVE, 100, 200, rules, 3)
+            assertEquals(expected, ServiceFileReader.parse("s.toml", text).getOrElse { error(it) })
+        }
+
+        /** Guards against defaults that differ from the documented ones. */
+        @Test
+        fun `a short file has the documented defaults`() {
+            val spec = ServiceFileReader.parse("s.toml", base.joinToString("\n")).getOrElse { error(it) }
+            assertEquals(listOf(ServiceMode.ANSWER, Urgency.NORMAL, 1), listOf(spec.mode, spec.urgency, spec.share))
+        }
+    }
+
+    @Nested
+    inner class Refused {
+        /** Guards against a wrong file that is accepted, or that is refused without file, line, field and form. */
+        @Test
+        fun `each fault has one error with its place and the accepted form`() {
+            val rows =
+                listOf(
+                    Triple("name", "", "s.toml, field 'name': is missing; accepted: 1 to 63"),
+                    Triple(
+                        "name",
+                        "name = \"Big\"",
+                        "s.toml, line 5, field 'name': has the value \"Big\"; accepted: 1",
+                    ),
+                    Triple("name", "name = 5", "s.toml, line 5, field 'name': is not a string"),
+                    Triple("model", "", "s.toml, field 'application': and 'model' are both missing"),
+                    Triple("x", "application = \"b\"", "s.toml, line 6, field 'application': is given beside 'model'"),
+                    Triple("model", "model = \"a b\"", "s.toml, line 5, field 'model': has the value"),
+                    Triple(
+                        "x",
+                        "mode = \"fast\"",
+                        "s.toml, line 6, field 'mode': has the value \"fast\"; accepted: \"ans",
+                    ),
+                    Triple(
+                        "x",
+                        "urgency = \"high\"",
+                        "s.toml, line 6, field 'urgency': has the value \"high\"; accepted",
+                    ),
+                    Triple("deadline_ms", "deadline_ms = 0", "s.toml, line 5, field 'deadline_ms': has the value 0"),
+                    Triple("deadline_ms", "deadline_ms = 1.5", "field 'deadline_ms': is not a whole number"),
+                    Triple("deadline_ms", "deadline_ms = 99999999999999999999", "field 'deadline_ms': has the value"),
+                    Triple("deadline_ms", "deadline_ms = 4", "line 4, field 'first_token_ms': is beyond the deadline"),
+                    Triple(
+                        "x",
+                        "share = 0",
+                        "s.toml, line 6, field 'share': has the value 0; accepted: a whole number of",
+                    ),
+                    Triple(
+                        "x",
+                        "sahre = 1",
+                        "s.toml, line 6, field 'sahre': is not a known key; accepted: did you mean 'sh",
+                    ),
+                    Triple("x", "colour = 1", "field 'colour': is not a known key; accepted: application, deadline_ms"),
+                    Triple("x", "never_repeat = 1", "field 'never_repeat': is not an array of tables"),
+                    Triple(
+                        "x",
+                        "[[never_repeat]]",
+                        "line 6, field 'never_repeat[0]': selects nothing; accepted: method",
+                    ),
+                    Triple(
+                        "x",
+                        "[[never_repeat]]\npath = \"x\"",
+                        "line 7, field 'never_repeat[0].path': has the value",
+                    ),
+                    Triple(
+                        "x",
+                        "[[never_repeat]]\nkind = \"k\"\nmetod = \"GET\"",
+                        "line 8, field 'never_repeat[0].metod'",
+                    ),
+                    Triple(
+                        "x",
+                        "mode = \"document\"\n[[never_repeat]]\nkind = \"k\"",
+                        "field 'never_repeat': is given for a",
+                    ),
+                    Triple(
+                        "model",
+                        "application = \"b\"\nmode = \"document\"",
+                        "field 'mode': is \"document\" without a",
+                    ),
+                    Triple("x", "name = \"again\"", "s.toml, line 6: Duplicate key; accepted: a TOML 1.0"),
+                    Triple("x", "urgency = ", "s.toml, line 6: "),
+                )
+            for ((replaced, added, expected) in rows) {
+                val messages = messages(replaced, added)
+                assertEquals(1, messages.size, "$added gives $messages")
+                assertEquals(true, expected in messages.single(), "$added gives $messages")
+            }
+        }
+
+        /** Guards against an operator who has to repair a file one error at a time. */
+        @Test
+        fun `all faults of a file are listed`() {
+            assertEquals(3, messages("name", "urgency = 1\nshare = \"x\"").size)
+        }
+    }
+
+    @Nested
+    inner class Folder {
+        @TempDir
+        lateinit var folder: Path
+
+        /** Guards against a check that stops at the first wrong file, or misses one in a folder below. */
+        @Test
+        fun `all files are read and all errors listed`() {
+            val below = folder.resolve("below").createDirectory()
+            folder.resolve("a.toml").writeText(base.joinToString("\n"))
+            folder.resolve("b.toml").writeText("name = ")
+            below.resolve("c.toml").writeText(base.drop(1).joinToString("\n"))
+            folder.resolve("notes.txt").writeText("not a service")
+            val files =
+                ServiceFileReader
+                    .readFolder(
+                        folder,
+                    ).getError()
+                    .orEmpty()
+                    .map { Path.of(it.file).fileName.toString() }
+            assertEquals(listOf("b.toml", "c.toml"), files)
+        }
+
+        /** Guards against two files of which only the last one is in force. */
+        @Test
+        fun `a name used twice is refused with both files`() {
+            listOf("a.toml", "b.toml").forEach { folder.resolve(it).writeText(base.joinToString("\n")) }
+            val error =
+                ServiceFileReader
+                    .readFolder(folder)
+                    .getError()
+                    .orEmpty()
+                    .single()
+            assertEquals("the service 'a' is already in ${folder.resolve("a.toml")}", error.problem)
+            assertEquals(folder.resolve("b.toml").toString(), error.file)
+        }
+
+        /** Guards against a mistyped folder that publishes an empty set. */
+        @Test
+        fun `an empty or absent folder is refused`() {
+            for (path in listOf(folder, folder.resolve("absent"))) {
+                assertEquals(
+                    1,
+                    ServiceFileReader
+                        .readFolder(path)
+                        .getError()
+                        .orEmpty()
+                        .size,
+                    "$path",
+                )
+            }
+        }
+    }
+}
