--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/ColdLimit.kt
@@ -0,0 +1,118 @@
+package samphirechute.routing.ledger
+
+import samphirechute.routing.UpstreamCapacity
+import kotlin.math.abs
+
+/**
+ * The load that one upstream may be given. It starts at the announced cold limit and doubles after as many requests
+ * completed at the expected latency as the limit admits, so that each step is proved by the one before. It falls back
+ * to the cold limit on a refusal, a failure or a rise of latency.
+ */
+internal class ColdLimit(
+    private var capacity: UpstreamCapacity,
+) {
+    var concurrency = 0
+        private set
+
+    /** Bound on the prefill of all requests given and not completed; [Long.MAX_VALUE] when warm. */
+    var prefillTokens = 0L
+        private set
+
+    val isCold: Boolean get() = concurrency < capacity.maxConcurrency || prefillTokens < Long.MAX_VALUE
+
+    private var proved = 0
+    private var slowInARow = 0
+    private var samples = 0
+    private var baseline = 1.0
+    private var fastRatio = 1.0
+    private var slowRatio = 1.0
+
+    init {
+        reset()
+    }
+
+    /** Back to the cold limit. The learned baseline is dropped too: it may belong to other hardware. */
+    fun reset() {
+        concurrency = capacity.coldConcurrency.coerceIn(1, maxOf(1, capacity.maxConcurrency))
+        prefillTokens = capacity.coldPrefillTokens
+        proved = 0
+        slowInARow = 0
+        samples = 0
+        baseline = 1.0
+    }
+
+    fun announced(next: UpstreamCapacity) {
+        if (next == capacity) return
+        capacity = next
+        concurrency = concurrency.coerceAtMost(maxOf(1, next.maxConcurrency))
+    }
+
+    /** Work that the upstream carries already, given by an earlier coordinator, is evidence that it can. */
+    fun observedLoad(
+        requests: Int,
+        tokens: Long,
+    ) {
+        concurrency = maxOf(concurrency, requests).coerceAtMost(maxOf(1, capacity.maxConcurrency))
+        if (isCold) prefillTokens = maxOf(prefillTokens, tokens)
+    }
+
+    /**
+     * A request completed in [ratio] times the expected latency while the upstream had [running] requests. Returns
+     * true when this made the upstream cold.
+     */
+    fun completed(
+        ratio: Double,
+        running: Int,
+    ): Boolean {
+        learn(ratio)
+        val relative = ratio / baseline
+        slowInARow = if (relative > SLOW_RATIO) slowInARow + 1 else 0
+        if (slowInARow >= SLOW_SAMPLES) {
+            val wasProved = concurrency > capacity.coldConcurrency
+            if (wasProved) reset()
+            return wasProved
+        }
+        if (!isCold) return false
+        if (relative > EXPECTED_RATIO) {
+            proved = 0
+        } else if (running * 2 >= concurrency) {
+            // A request beside an almost idle upstream proves nothing about a higher load.
+            proved++
+            if (proved >= concurrency) grow()
+        }
+        return false
+    }
+
+    private fun grow() {
+        proved = 0
+        concurrency = (concurrency * 2).coerceAtMost(maxOf(1, capacity.maxConcurrency))
+        val isFull = concurrency >= capacity.maxConcurrency
+        prefillTokens = if (isFull) Long.MAX_VALUE else prefillTokens * 2
+    }
+
+    /**
+     * A latency that stays level for many requests is that of this upstream, whatever was announced; otherwise an
+     * upstream that announces too high a rate would stay cold for ever. While it warms up the two averages differ.
+     */
+    private fun learn(ratio: Double) {
+        samples++
+        if (samples == 1) {
+            fastRatio = ratio
+            slowRatio = ratio
+        }
+        fastRatio += FAST_WEIGHT * (ratio - fastRatio)
+        slowRatio += SLOW_WEIGHT * (ratio - slowRatio)
+        val isLevel = samples >= LEVEL_SAMPLES && abs(fastRatio - slowRatio) <= LEVEL_BAND * slowRatio
+        if (isCold && isLevel) baseline = maxOf(1.0, slowRatio)
+    }
+
+    private companion object {
+        const val EXPECTED_RATIO = 1.25
+        const val SLOW_RATIO = 2.5
+        const val SLOW_SAMPLES = 4
+        const val FAST_WEIGHT = 0.3
+        const val SLOW_WEIGHT = 0.05
+        const val LEVEL_SAMPLES = 48
+        const val LEVEL_BAND = 0.05
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/DrainRate.kt
@@ -0,0 +1,44 @@
+package samphirechute.routing.ledger
+
+import kotlin.math.exp
+
+/**
+ * The rate at which a queue drains, in tokens per millisecond, over the last few seconds in which something waited.
+ * Until it has been seen for long enough, a stated rate takes its place.
+ */
+internal class DrainRate {
+    private var tokens = 0.0
+    private var observedMs = 0.0
+    private var updatedMs = 0L
+    private var wasWaiting = false
+
+    fun granted(
+        costTokens: Long,
+        isWaiting: Boolean,
+        nowMs: Long,
+    ) {
+        advance(isWaiting, nowMs)
+        if (isWaiting) tokens += costTokens
+    }
+
+    fun advance(
+        isWaiting: Boolean,
+        nowMs: Long,
+    ) {
+        val elapsedMs = (nowMs - updatedMs).toDouble()
+        updatedMs = nowMs
+        if (wasWaiting && elapsedMs > 0) {
+            val decay = exp(-elapsedMs / WINDOW_MS)
+            tokens *= decay
+            observedMs = observedMs * decay + elapsedMs
+        }
+        wasWaiting = isWaiting
+    }
+
+    fun tokensPerMs(stated: Double) = if (observedMs < MIN_OBSERVED_MS || tokens <= 0) stated else tokens / observedMs
+
+    private companion object {
+        const val WINDOW_MS = 4_000.0
+        const val MIN_OBSERVED_MS = 1_000.0
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/FairQueue.kt
@@ -0,0 +1,199 @@
+package samphirechute.routing.ledger
+
+import samphirechute.core.TeamName
+import samphirechute.core.service.Urgency
+import samphirechute.routing.GrantKey
+import java.util.TreeSet
+
+/**
+ * Orders waiting requests: strict priority between classes of urgency, with aging, and weighted fair queueing in
+ * tokens between the teams of a class. It uses start-time fair queueing: a team is served in order of its virtual
+ * start, and each request moves that forward by its tokens divided by the share of the team.
+ */
+internal class FairQueue(
+    private val agingMs: Long,
+) {
+    private val levels = List(Urgency.entries.size) { Level() }
+    private val places = HashMap<GrantKey, Place>()
+
+    val size: Int get() = places.size
+    val isEmpty: Boolean get() = places.isEmpty()
+    val tokens: Long get() = levels.sumOf { it.tokens }
+
+    operator fun contains(key: GrantKey) = key in places
+
+    fun add(waiting: Waiting) = insert(waiting, waiting.request.urgency.ordinal)
+
+    fun remove(key: GrantKey): Waiting? = places.remove(key)?.let { it.level.remove(key, it.team) }
+
+    /** Accounts for a request that was granted without waiting. */
+    fun charge(waiting: Waiting) {
+        val level = levels[waiting.request.urgency.ordinal]
+        level.charge(level.team(waiting), waiting)
+    }
+
+    /**
+     * Offers waiting requests in order to [tryGrant] until it takes one, at most [MAX_TRIES] of them: a request that
+     * none of the open upstreams may serve does not hold up the others. Returns false when none was taken.
+     */
+    fun offer(tryGrant: (Waiting) -> Boolean): Boolean {
+        var tries = 0
+        for (level in levels) {
+            for (team in level.order) {
+                if (tries++ >= MAX_TRIES) return false
+                val waiting = team.requests.first()
+                if (!tryGrant(waiting)) continue
+                places.remove(waiting.key)
+                level.remove(waiting.key, team)
+                level.charge(team, waiting)
+                return true
+            }
+        }
+        return false
+    }
+
+    /** The tokens served before a request of this team and cost, as the queue stands. */
+    fun tokensAhead(waiting: Waiting): Long {
+        var ahead = 0L
+        for (index in 0 until waiting.request.urgency.ordinal) ahead += levels[index].tokens
+        val level = levels[waiting.request.urgency.ordinal]
+        val own = level.teams[waiting.request.team]
+        val ownTokens = (own?.tokens ?: 0L) + waiting.costTokens
+        val isActive = own != null && own.requests.isNotEmpty()
+        val shares = level.shares + if (isActive) 0 else waiting.share
+        val fair = ownTokens.toDouble() * shares / waiting.share - waiting.costTokens
+        return ahead + minOf(level.tokens, fair.toLong())
+    }
+
+    /** Moves requests up that have waited for a whole aging period in their class. */
+    fun age(nowMs: Long) {
+        for (index in 1 until levels.size) {
+            for (team in levels[index].order.toList()) promote(team, index, nowMs)
+        }
+    }
+
+    /** All waiting requests for which [predicate] holds, removed. */
+    fun removeIf(predicate: (Waiting) -> Boolean): List<Waiting> {
+        if (isEmpty) return emptyList()
+        val found = levels.flatMap { level -> level.order.flatMap { it.requests.filter(predicate) } }
+        found.forEach { remove(it.key) }
+        return found
+    }
+
+    /** The newest request of the team with the most queued tokens for its share, in the least urgent class queued. */
+    fun heaviest(): Waiting? {
+        val level = levels.lastOrNull { it.order.isNotEmpty() } ?: return null
+        val team = level.order.maxByOrNull { it.tokens / it.share.toDouble() }
+        return team?.requests?.last()
+    }
+
+    /** Tokens queued per unit of share for the team of [waiting], in its class. */
+    fun weightOf(waiting: Waiting): Double {
+        val team = levels[waiting.request.urgency.ordinal].teams[waiting.request.team]
+        return (team?.tokens ?: 0L) / waiting.share.toDouble()
+    }
+
+    private fun promote(
+        team: TeamQueue,
+        index: Int,
+        nowMs: Long,
+    ) {
+        val moves = Urgency.entries.size - index
+        while (team.requests.isNotEmpty()) {
+            val head = team.requests.first()
+            val steps = head.request.urgency.ordinal - index + 1
+            if (nowMs - head.askedMs < agingMs * steps || moves <= 0) return
+            remove(head.key)
+            insert(head, index - 1)
+        }
+    }
+
+    private fun insert(
+        waiting: Waiting,
+        index: Int,
+    ) {
+        places[waiting.key] = Place(levels[index], levels[index].add(waiting))
+    }
+
+    private class Place(
+        val level: Level,
+        val team: TeamQueue,
+    )
+
+    private class TeamQueue(
+        val name: TeamName,
+        val order: Long,
+    ) {
+        val requests = ArrayDeque<Waiting>()
+        var tokens = 0L
+        var share = 1
+        var start = 0.0
+    }
+
+    private class Level {
+        val teams = HashMap<TeamName, TeamQueue>()
+        val order = TreeSet<TeamQueue>(compareBy({ it.start }, { it.order }))
+        var tokens = 0L
+        var shares = 0
+        private var virtualTime = 0.0
+        private var nextOrder = 0L
+
+        fun team(waiting: Waiting): TeamQueue {
+            if (teams.size > MAX_IDLE_TEAMS) forgetIdle()
+            val team = teams.getOrPut(waiting.request.team) { TeamQueue(waiting.request.team, nextOrder++) }
+            if (team.requests.isEmpty()) {
+                team.share = waiting.share
+                team.start = maxOf(team.start, virtualTime)
+            }
+            return team
+        }
+
+        fun add(waiting: Waiting): TeamQueue {
+            val team = team(waiting)
+            if (team.requests.isEmpty()) {
+                order += team
+                shares += team.share
+            }
+            team.requests += waiting
+            team.tokens += waiting.costTokens
+            tokens += waiting.costTokens
+            return team
+        }
+
+        fun remove(
+            key: GrantKey,
+            team: TeamQueue,
+        ): Waiting? {
+            val at = team.requests.indexOfFirst { it.key == key }
+            if (at < 0) return null
+            val waiting = team.requests.removeAt(at)
+            team.tokens -= waiting.costTokens
+            tokens -= waiting.costTokens
+            if (team.requests.isEmpty()) {
+                order -= team
+                shares -= team.share
+            }
+            return waiting
+        }
+
+        fun charge(
+            team: TeamQueue,
+            waiting: Waiting,
+        ) {
+            val isQueued = team.requests.isNotEmpty()
+            if (isQueued) order -= team
+            virtualTime = maxOf(virtualTime, team.start)
+            team.start += waiting.costTokens.toDouble() / team.share
+            if (isQueued) order += team
+        }
+
+        private fun forgetIdle() {
+            teams.values.removeIf { it.requests.isEmpty() && it.start <= virtualTime }
+        }
+    }
+
+    private companion object {
+        const val MAX_TRIES = 8
+        const val MAX_IDLE_TEAMS = 4_096
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/GrantTable.kt
@@ -0,0 +1,85 @@
+package samphirechute.routing.ledger
+
+import samphirechute.core.InstanceId
+import samphirechute.routing.Grant
+import samphirechute.routing.GrantKey
+import samphirechute.routing.PromptPrefix
+
+/** The grants given or taken over and not ended, by key and by holder. */
+internal class GrantTable(
+    private val limits: LedgerLimits,
+) {
+    private val byKey = HashMap<GrantKey, GrantRecord>()
+    private val byHolder = HashMap<InstanceId, HashSet<GrantKey>>()
+
+    /** Grants that ended here lately; a late list of their holder does not bring them back. */
+    private val ended = LinkedHashMap<GrantKey, Long>()
+
+    val isEmpty: Boolean get() = byKey.isEmpty()
+
+    operator fun get(key: GrantKey) = byKey[key]
+
+    fun add(record: GrantRecord) {
+        byKey[record.grant.key] = record
+        byHolder.getOrPut(record.grant.key.instance) { HashSet() } += record.grant.key
+    }
+
+    fun remove(
+        key: GrantKey,
+        nowMs: Long,
+    ): GrantRecord? {
+        val record = byKey.remove(key) ?: return null
+        byHolder[key.instance]?.let { keys ->
+            keys -= key
+            if (keys.isEmpty()) byHolder -= key.instance
+        }
+        ended[key] = nowMs
+        return record
+    }
+
+    fun hasEnded(key: GrantKey) = key in ended
+
+    /** Renews what [instance] lists, and returns those of its grants that it should list and does not. */
+    fun renew(
+        instance: InstanceId,
+        listed: Set<GrantKey>,
+        nowMs: Long,
+    ): List<GrantKey> {
+        val unlisted = ArrayList<GrantKey>()
+        for (key in byHolder[instance].orEmpty()) {
+            val record = byKey.getValue(key)
+            if (key in listed) {
+                record.renewedMs = nowMs
+            } else if (nowMs - record.grantedMs > limits.unusedMs) {
+                unlisted += key
+            }
+        }
+        return unlisted
+    }
+
+    fun expired(nowMs: Long): List<GrantKey> {
+        val oldest = ended.values.iterator()
+        while (oldest.hasNext() && nowMs - oldest.next() > ENDED_KEPT_MS) oldest.remove()
+        return byKey.values.filter { nowMs - it.renewedMs >= limits.leaseMs }.map { it.grant.key }
+    }
+
+    fun clear() {
+        byKey.clear()
+        byHolder.clear()
+        ended.clear()
+    }
+
+    private companion object {
+        const val ENDED_KEPT_MS = 10_000L
+    }
+}
+
+/** A grant in force. [pool] and [prefixes] are known only when it was given here. */
+internal class GrantRecord(
+    val grant: Grant,
+    val pool: PoolLedger?,
+    val prefixes: List<PromptPrefix>,
+    val grantedMs: Long,
+) {
+    var renewedMs = grantedMs
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamChoice.kt
@@ -0,0 +1,151 @@
+package samphirechute.routing.ledger
+
+import kotlin.math.max
+
+/** The upstream that would serve a request, and when it would give the first token. */
+internal class Choice(
+    val upstream: UpstreamLedger,
+    val cachedTokens: Long,
+    val prefillTokens: Long,
+    val firstTokenMs: Double,
+    val isLong: Boolean,
+)
+
+/**
+ * Chooses the upstream with the least predicted first token: the wait for the prefill ahead plus the prefill of what
+ * is not cached. A cached prefix is thereby worth its prefill time and no more.
+ */
+internal class UpstreamChoice(
+    private val pool: PoolLedger,
+    private val prefixes: PrefixIndex,
+    private val limits: LedgerLimits,
+) {
+    /** For a short prompt, or a request of a plain application; null while no upstream has room. */
+    fun chooseShort(
+        waiting: Waiting,
+        nowMs: Long,
+    ): Choice? {
+        var best: UpstreamLedger? = null
+        var bestCost = Double.MAX_VALUE
+        var seen = 0
+
+        fun weigh(upstream: UpstreamLedger): Boolean {
+            if (!isOpenForShort(upstream, waiting, nowMs)) return false
+            val cost = shortCost(upstream, waiting, nowMs)
+            if (cost < bestCost) {
+                bestCost = cost
+                best = upstream
+            }
+            return true
+        }
+        pool.rank.visit { upstream ->
+            if (weigh(upstream)) seen++
+            seen < MAX_SEEN && upstream.shortWaitMs(nowMs) < bestCost
+        }
+        prefixes.visitHolders(waiting.request.prefixes) { if (pool.serves(it)) weigh(it) }
+        return best?.let { choice(it, waiting, isLong = false, nowMs) }
+    }
+
+    /** For a long prompt: an engine with its prefix cached, or one of the share that long prompts may use. */
+    fun chooseLong(
+        waiting: Waiting,
+        nowMs: Long,
+    ): Choice? {
+        val prefilling = pool.upstreams.count { it.isPrefillingLong(nowMs) }
+        val isShareUsed = prefilling >= pool.share.maxEngines(pool.upstreams.count { it.isUsable(nowMs) })
+        var best: UpstreamLedger? = null
+        var bestCost = Double.MAX_VALUE
+        for (upstream in pool.upstreams) {
+            if (!upstream.isUsable(nowMs) || upstream.isCollected || upstream.id in waiting.request.excluded) continue
+            val cached = prefixes.lookUp(upstream, waiting.request.prefixes, nowMs)
+            val isLong = isLongOn(waiting, cached)
+            if (isLong) {
+                if (upstream.allWaitMs(nowMs) > limits.longAheadMs) continue
+                if (isShareUsed && !upstream.isPrefillingLong(nowMs)) continue
+            } else if (upstream.shortWaitMs(nowMs) > limits.shortAheadMs) {
+                continue
+            }
+            val uncached = waiting.request.promptTokens - cached.certain
+            if (!upstream.hasRoomFor(waiting.memoryTokens, uncached, nowMs)) continue
+            val wait = if (isLong) upstream.allWaitMs(nowMs) else upstream.shortWaitMs(nowMs)
+            val prefill = upstream.prefillMs(waiting.request.promptTokens - cached.worth)
+            val cost = wait + prefill + upstream.running * RUNNING_COST_MS
+            if (cost < bestCost) {
+                bestCost = cost
+                best = upstream
+            }
+        }
+        val upstream = best ?: return null
+        return choice(upstream, waiting, isLongOn(waiting, cachedOn(upstream, waiting, nowMs)), nowMs)
+    }
+
+    /** The prefill time that a request needs at least, on the best upstream while nothing else runs. */
+    fun leastPrefillMs(
+        waiting: Waiting,
+        nowMs: Long,
+    ): Double {
+        val any = pool.upstreams.firstOrNull() ?: return 0.0
+        if (!any.isEngine) return 0.0
+        var cached = 0L
+        prefixes.visitHolders(waiting.request.prefixes) {
+            if (pool.serves(it)) cached = max(cached, cachedOn(it, waiting, nowMs).certain)
+        }
+        return any.prefillMs(waiting.request.promptTokens - cached)
+    }
+
+    private fun choice(
+        upstream: UpstreamLedger,
+        waiting: Waiting,
+        isLong: Boolean,
+        nowMs: Long,
+    ): Choice {
+        val cached = cachedOn(upstream, waiting, nowMs).certain
+        val tokens = if (upstream.isEngine) waiting.request.promptTokens - cached else 0L
+        val wait = if (isLong) upstream.allWaitMs(nowMs) else upstream.shortWaitMs(nowMs)
+        return Choice(upstream, cached, tokens, wait + upstream.firstTokenMs(tokens), isLong)
+    }
+
+    private fun isOpenForShort(
+        upstream: UpstreamLedger,
+        waiting: Waiting,
+        nowMs: Long,
+    ): Boolean {
+        if (!upstream.isUsable(nowMs) || upstream.shortWaitMs(nowMs) > limits.shortAheadMs) return false
+        if (upstream.isCollected && pool.gangs.isImpatient(nowMs)) return false
+        if (waiting.request.excluded.isNotEmpty() && upstream.id in waiting.request.excluded) return false
+        val cached = cachedOn(upstream, waiting, nowMs).certain
+        return upstream.hasRoomFor(waiting.memoryTokens, waiting.request.promptTokens - cached, nowMs)
+    }
+
+    private fun shortCost(
+        upstream: UpstreamLedger,
+        waiting: Waiting,
+        nowMs: Long,
+    ): Double {
+        if (!upstream.isEngine) return upstream.running.toDouble() / upstream.limit.concurrency
+        val uncached = waiting.request.promptTokens - cachedOn(upstream, waiting, nowMs).worth
+        val cost = upstream.shortWaitMs(nowMs) + upstream.prefillMs(uncached) + upstream.running * RUNNING_COST_MS
+        if (!upstream.isPrefillingLong(nowMs)) return cost
+        // Each of its steps is shared with a chunk of the long prefill, about doubling the time between tokens.
+        val decodeMs = pool.expectedTokens(waiting) * upstream.report.capacity.decodeStepMs
+        return cost + minOf(decodeMs, upstream.allWaitMs(nowMs))
+    }
+
+    private fun cachedOn(
+        upstream: UpstreamLedger,
+        waiting: Waiting,
+        nowMs: Long,
+    ) = prefixes.lookUp(upstream, waiting.request.prefixes, nowMs)
+
+    private fun isLongOn(
+        waiting: Waiting,
+        cached: CachedPrefix,
+    ) = waiting.request.promptTokens - cached.certain >= limits.longPromptTokens
+
+    private companion object {
+        const val MAX_SEEN = 8
+
+        /** Each running sequence lengthens the step of its engine a little; this also spreads ties. */
+        const val RUNNING_COST_MS = 1.0
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/Waiting.kt
@@ -0,0 +1,21 @@
+package samphirechute.routing.ledger
+
+import samphirechute.routing.GrantRequest
+
+/** A request that waits for its grant, with its remaining times as points in time of this coordinator. */
+internal class Waiting(
+    val request: GrantRequest,
+    val askedMs: Long,
+    val costTokens: Long,
+) {
+    val key = request.key
+    val share = request.share.coerceAtLeast(1)
+    val firstTokenByMs = plus(askedMs, request.firstTokenRemainingMs)
+    val doneByMs = plus(askedMs, request.remainingMs)
+    val memoryTokens = request.promptTokens + request.maxTokens
+
+    private fun plus(
+        atMs: Long,
+        durationMs: Long,
+    ) = if (durationMs > Long.MAX_VALUE - atMs) Long.MAX_VALUE else atMs + durationMs
+}
