Add the replicated log and the store's state machine

Cause: the daemon needs a store to claim, publish and drain against.

Command.RecordIncarnation is new, and IssueOrder carries its fencing number. Conclusion: a leader is elected and a publish is applied by three members in simulation; faults are not tested yet.

--- a/state/src/main/kotlin/samphirechute/state/command/Command.kt
+++ b/state/src/main/kotlin/samphirechute/state/command/Command.kt
@@ -55,6 +55,13 @@
         val claimant: Claimant,
     ) : Command()
 
+    /** Announces the current life of an instance; claims and documents of its earlier lives have lost their holder. */
+    @Serializable
+    @SerialName("record_incarnation")
+    data class RecordIncarnation(
+        val claimant: Claimant,
+    ) : Command()
+
     @Serializable
     @SerialName("set_drain")
     data class SetDrain(
@@ -98,6 +105,8 @@
         val operationId: OperationId,
         val upstream: UpstreamId,
         val order: UpstreamOrder,
+        /** The term of the leader that issues the order. */
+        val fencingNumber: Long,
     ) : Command()
 
     @Serializable
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/raft/Follower.kt
@@ -0,0 +1,121 @@
+package samphirechute.state.raft
+
+import samphirechute.state.raft.RaftMessage.AppendReply
+import samphirechute.state.raft.RaftMessage.AppendRequest
+import samphirechute.state.raft.RaftMessage.SnapshotReply
+import samphirechute.state.raft.RaftMessage.SnapshotRequest
+import samphirechute.state.store.StoreState
+import samphirechute.state.store.plus
+
+/** What a member does with the entries and snapshots of its leader. */
+internal class Follower(
+    private val member: Member,
+) {
+    /** The log equals the leader's up to here, as found in [matchTerm]. */
+    private var matchIndex = 0L
+    private var matchTerm = 0L
+    private var reportedIndex = 0L
+    private var lastEchoMs = 0L
+    private var incoming: IncomingSnapshot? = null
+
+    fun onAppend(request: AppendRequest) {
+        followTerm(request.term)
+        lastEchoMs = request.sentMs
+        val log = member.log
+        // Everything that the snapshot covers is committed, and so equals the leader's log.
+        val isCovered = request.prevIndex < log.baseIndex
+        if (!isCovered && log.termAt(request.prevIndex) != request.prevTerm) {
+            return reply(request.from, isMatch = false, lastIndex = lastBefore(request.prevIndex))
+        }
+        store(request.entries.filter { it.index > log.baseIndex })
+        matchIndex = maxOf(matchIndex, request.prevIndex + request.entries.size)
+        member.commitTo(minOf(request.commitIndex, matchIndex))
+        reply(request.from, isMatch = true, lastIndex = log.lastIndex)
+    }
+
+    fun onSnapshot(request: SnapshotRequest) {
+        followTerm(request.term)
+        lastEchoMs = request.sentMs
+        if (request.lastIndex <= member.commitIndex) {
+            incoming = null
+            acknowledge(request, request.partNumber + 1)
+            return
+        }
+        val name = Triple(request.term, request.lastIndex, request.from)
+        val current = incoming?.takeIf { it.name == name } ?: IncomingSnapshot(name).also { incoming = it }
+        if (request.partNumber == current.nextPart) {
+            current.state = current.state.plus(request.part)
+            current.nextPart++
+            if (request.isLast) {
+                incoming = null
+                member.install(current.state)
+                matchIndex = maxOf(matchIndex, request.lastIndex)
+            }
+        }
+        acknowledge(request, current.nextPart)
+    }
+
+    /** Tells the leader when more of its log has become durable here. */
+    fun onDiskDone() {
+        val leader = member.leader ?: return
+        if (matchTerm == member.term && durableMatch() > reportedIndex) {
+            reply(leader, isMatch = true, lastIndex = member.log.lastIndex)
+        }
+    }
+
+    private fun followTerm(term: Long) {
+        if (term == matchTerm) return
+        matchTerm = term
+        matchIndex = 0
+        reportedIndex = 0
+        incoming = null
+    }
+
+    private fun store(entries: List<LogEntry>) {
+        val fresh = entries.dropWhile { member.log.termAt(it.index) == it.term }
+        val first = fresh.firstOrNull() ?: return
+        val isConflict = first.index <= member.log.lastIndex
+        if (isConflict) member.truncateFrom(first.index)
+        fresh.forEach(member::append)
+        member.writeAppended(truncateFrom = if (isConflict) first.index else null)
+    }
+
+    /** Skips the whole term that conflicts, so that a long diverged tail costs one round for each term. */
+    private fun lastBefore(prevIndex: Long): Long {
+        val log = member.log
+        if (prevIndex > log.lastIndex) return log.lastIndex
+        val term = log.termAt(prevIndex)
+        var index = prevIndex
+        while (index > member.commitIndex && log.termAt(index) == term) index--
+        return index
+    }
+
+    private fun durableMatch() = minOf(matchIndex, member.disk.durableIndex)
+
+    private fun reply(
+        to: DiskIdentity,
+        isMatch: Boolean,
+        lastIndex: Long,
+    ) {
+        val match = if (isMatch) durableMatch() else 0
+        reportedIndex = maxOf(reportedIndex, match)
+        val reply =
+            AppendReply(member.identity, member.term, isMatch, match, lastIndex, lastEchoMs, member.wallMs)
+        member.send(to.instance, reply)
+    }
+
+    /** The last part counts only once the whole snapshot is durable. */
+    private fun acknowledge(
+        request: SnapshotRequest,
+        nextPart: Int,
+    ) = member.sendWhenDurable(
+        request.from.instance,
+        SnapshotReply(member.identity, member.term, request.lastIndex, nextPart, request.sentMs, member.wallMs),
+    )
+
+    private class IncomingSnapshot(
+        val name: Triple<Long, Long, DiskIdentity>,
+        var nextPart: Int = 0,
+        var state: StoreState = StoreState(),
+    )
+}
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/raft/Founding.kt
@@ -0,0 +1,56 @@
+package samphirechute.state.raft
+
+import samphirechute.core.InstanceId
+import samphirechute.core.OperationId
+import samphirechute.state.command.Command
+import samphirechute.state.command.StoreMember
+import samphirechute.state.command.Timed
+
+/**
+ * The first start. A member with an empty log cannot tell a new store from its own wiped disk, so it founds nothing
+ * unless every store member of the settings answers that its log is empty too. Only the one with the lowest name
+ * founds, and only once for each disk identity.
+ */
+internal class Founding(
+    private val member: Member,
+) {
+    private val empty = mutableMapOf<InstanceId, StoreMember>()
+    private val disks = mutableMapOf<InstanceId, DiskIdentity>()
+    private var lastHelloMs: Long? = null
+
+    /** False for a message of a disk that has since been replaced, which may still be under way. */
+    fun isTrusted(from: DiskIdentity) = !member.isEmpty || (disks[from.instance] ?: from) == from
+
+    fun tick() {
+        if (!member.isEmpty) return
+        if (empty.size == member.peers.size) found()
+        val last = lastHelloMs
+        if (!member.isEmpty || (last != null && member.nowMs - last < member.timings.helloMs)) return
+        lastHelloMs = member.nowMs
+        empty.clear()
+        member.peers.forEach { member.send(it, hello(null)) }
+    }
+
+    fun onHello(message: RaftMessage.Hello) {
+        disks[message.from.instance] = message.from
+        if (message.inReplyTo == null) {
+            member.send(message.from.instance, hello(message.from))
+        } else if (message.inReplyTo == member.identity && message.isEmpty && message.from.instance in member.peers) {
+            empty[message.from.instance] = message.member
+        }
+    }
+
+    private fun found() {
+        val founders = (empty.values + member.self).sortedBy { it.instance }
+        if (founders.first() != member.self) return
+        // Term 0 is never that of an elected leader, so no other entry can have the same index and term.
+        founders.forEachIndexed { position, founder ->
+            val operationId = OperationId("founding-${founder.instance}-${founder.diskId}")
+            member.append(LogEntry(position + 1L, 0, Timed(0, Command.AddMember(operationId, founder))))
+        }
+        member.writeAppended()
+    }
+
+    private fun hello(inReplyTo: DiskIdentity?) =
+        RaftMessage.Hello(member.identity, member.term, member.self, member.isEmpty, inReplyTo)
+}
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/raft/LogEntry.kt
@@ -0,0 +1,38 @@
+package samphirechute.state.raft
+
+import kotlinx.serialization.Serializable
+import samphirechute.core.InstanceId
+import samphirechute.state.command.StoreMember
+import samphirechute.state.command.Timed
+import samphirechute.state.store.StoreState
+
+/** One command at its place in the replicated log. */
+@Serializable
+data class LogEntry(
+    val index: Long,
+    val term: Long,
+    val timed: Timed,
+)
+
+/** One disk of one instance. A wiped disk gets a new [diskId], so it can never pass for the disk it replaces. */
+@Serializable
+data class DiskIdentity(
+    val instance: InstanceId,
+    val diskId: String,
+)
+
+/** What must not be forgotten between elections. */
+@Serializable
+data class HardState(
+    val term: Long = 0,
+    val votedFor: DiskIdentity? = null,
+)
+
+/** What a member finds on its disk when it starts. [entries] follow the snapshot [state] without a gap. */
+data class RestoredLog(
+    val hardState: HardState = HardState(),
+    val state: StoreState = StoreState(),
+    val entries: List<LogEntry> = emptyList(),
+)
+
+val StoreMember.identity: DiskIdentity get() = DiskIdentity(instance, diskId)
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/raft/MemberChanges.kt
@@ -0,0 +1,136 @@
+package samphirechute.state.raft
+
+import samphirechute.core.OperationId
+import samphirechute.state.command.Command
+
+/**
+ * Changes of membership on the leader, one at a time. A member that is added first receives the whole log without
+ * counting. One that replaces a wiped disk of the same instance is added only after the old disk is removed by an
+ * entry of its own, so that any two majorities in succession overlap.
+ */
+internal class MemberChanges(
+    private val member: Member,
+    private val leadership: Leadership,
+    private val proposals: Proposals,
+) {
+    private var pending: PendingAdd? = null
+
+    fun add(
+        token: Long,
+        command: Command.AddMember,
+    ) {
+        if (isAnswered(token, command.operationId) || isBusy(token)) return
+        val added = command.member
+        val isKnown = member.isVoter(added.identity)
+        val isReplaced = member.voters.any { it.instance == added.instance }
+        when {
+            isKnown -> {
+                append(token, command)
+            }
+
+            !isReplaced && member.voters.size >= member.state.limits.maxMembers -> {
+                proposals.refuse(token, "too_many_members", "the store has ${member.voters.size} members")
+            }
+
+            isReplaced && added.instance == member.self.instance -> {
+                proposals.refuse(token, "member_leads", "the leader's own disk cannot be replaced while it leads")
+            }
+
+            else -> {
+                pending = PendingAdd(token, command, member.nowMs)
+                proposals.prepare(token, isStarted = false)
+                leadership.startLearner(added)
+            }
+        }
+    }
+
+    fun remove(
+        token: Long,
+        command: Command.RemoveMember,
+    ) {
+        if (isAnswered(token, command.operationId) || isBusy(token)) return
+        when {
+            member.voters.none { it.instance == command.instance } -> {
+                proposals.refuse(token, "not_a_member", "'${command.instance}' is not a store member")
+            }
+
+            member.voters.size == 1 -> {
+                proposals.refuse(token, "last_member", "the last store member cannot be removed")
+            }
+
+            else -> {
+                append(token, command)
+            }
+        }
+    }
+
+    /** Takes the next step of a member being added, once its time has come. */
+    fun advance() {
+        val current = pending ?: return
+        if (isChangeUncommitted()) return
+        when {
+            current.isRemoved -> {
+                finish(current)
+            }
+
+            leadership.isCaughtUp() -> {
+                removeOldDisk(current)
+            }
+
+            member.nowMs - current.sinceMs > member.timings.catchUpMs -> {
+                pending = null
+                leadership.stopLearner()
+                val seconds = member.timings.catchUpMs / MS_PER_S
+                proposals.refuse(current.token, "catch_up_failed", "the new member did not catch up within $seconds s")
+            }
+        }
+    }
+
+    private fun removeOldDisk(current: PendingAdd) {
+        current.isRemoved = true
+        val added = current.command.member
+        if (member.voters.none { it.instance == added.instance }) return finish(current)
+        val operationId = OperationId("${current.command.operationId}/remove")
+        proposals.prepare(current.token, isStarted = true)
+        leadership.append(Command.RemoveMember(operationId, added.instance))
+    }
+
+    private fun finish(current: PendingAdd) {
+        pending = null
+        append(current.token, current.command)
+    }
+
+    private fun append(
+        token: Long,
+        command: Command,
+    ) = proposals.await(leadership.append(command), token)
+
+    /** A resend gets its first answer; it must not change the membership once more. */
+    private fun isAnswered(
+        token: Long,
+        operationId: OperationId,
+    ): Boolean {
+        val record = member.state.operations[operationId] ?: return false
+        proposals.answer(token, ProposalOutcome.Committed(member.commitIndex, record.result))
+        return true
+    }
+
+    private fun isBusy(token: Long): Boolean {
+        val isBusy = pending != null || isChangeUncommitted()
+        if (isBusy) proposals.refuse(token, "change_in_progress", "another change of membership is under way")
+        return isBusy
+    }
+
+    private fun isChangeUncommitted() = member.log.membersIndex > member.commitIndex
+
+    private class PendingAdd(
+        val token: Long,
+        val command: Command.AddMember,
+        val sinceMs: Long,
+        var isRemoved: Boolean = false,
+    )
+
+    private companion object {
+        const val MS_PER_S = 1_000
+    }
+}
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftInput.kt
@@ -0,0 +1,31 @@
+package samphirechute.state.raft
+
+import samphirechute.state.command.Command
+
+/** What a [RaftNode] reacts to. */
+sealed class RaftInput {
+    /** A command to commit. The answer carries [token], which must be unique within this process. */
+    data class Propose(
+        val token: Long,
+        val command: Command,
+    ) : RaftInput()
+
+    data class Received(
+        val message: RaftMessage,
+    ) : RaftInput()
+
+    /** Every write up to [sequence] is durable. */
+    data class DiskDone(
+        val sequence: Long,
+    ) : RaftInput()
+
+    /** A write failed. The member stops, because nothing is known of what its disk holds. */
+    data class DiskFailed(
+        val reason: String,
+    ) : RaftInput()
+
+    /** Expected every 10 to 50 ms. [wallMs] is the wall clock in milliseconds since 1970. */
+    data class Tick(
+        val wallMs: Long,
+    ) : RaftInput()
+}
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftLog.kt
@@ -0,0 +1,112 @@
+package samphirechute.state.raft
+
+import kotlinx.collections.immutable.PersistentList
+import samphirechute.state.command.Command
+import samphirechute.state.command.StoreMember
+import samphirechute.state.store.with
+import samphirechute.state.store.without
+
+/** The entries in memory after a base that a snapshot covers, and the membership at each of them. */
+internal class RaftLog(
+    var baseIndex: Long,
+    var baseTerm: Long,
+    private var baseMembers: PersistentList<StoreMember>,
+    entries: List<LogEntry>,
+) {
+    private val entries = ArrayList<LogEntry>()
+    private val changes = ArrayList<MemberChange>()
+
+    init {
+        entries.forEach(::append)
+    }
+
+    val lastIndex get() = baseIndex + entries.size
+    val lastTerm get() = entries.lastOrNull()?.term ?: baseTerm
+    val lastAtMs get() = entries.lastOrNull()?.timed?.atMs
+
+    /** The membership in force: that of the latest entry, committed or not. */
+    val members get() = changes.lastOrNull()?.members ?: baseMembers
+
+    /** The index of the latest change of membership, or of the base. */
+    val membersIndex get() = changes.lastOrNull()?.index ?: baseIndex
+
+    fun append(entry: LogEntry) {
+        check(entry.index == lastIndex + 1) { "entry ${entry.index} does not follow entry $lastIndex" }
+        val next =
+            when (val command = entry.timed.command) {
+                is Command.AddMember -> members.with(command.member)
+                is Command.RemoveMember -> members.without(command.instance)
+                else -> null
+            }
+        entries += entry
+        if (next != null) changes += MemberChange(entry.index, next)
+    }
+
+    /** Null when the entry is not in memory. */
+    operator fun get(index: Long): LogEntry? = entries.getOrNull((index - baseIndex - 1).toInt())
+
+    /** Null when the term is not known here. */
+    fun termAt(index: Long): Long? = if (index == baseIndex) baseTerm else get(index)?.term
+
+    fun truncateFrom(index: Long) {
+        check(index > baseIndex) { "entry $index is covered by a snapshot" }
+        while (lastIndex >= index) entries.removeLast()
+        changes.removeAll { it.index >= index }
+    }
+
+    /** Forgets entries up to [index]. */
+    fun compactTo(index: Long) {
+        if (index <= baseIndex) return
+        val term = checkNotNull(termAt(index)) { "entry $index is not in memory" }
+        changes.lastOrNull { it.index <= index }?.let { baseMembers = it.members }
+        changes.removeAll { it.index <= index }
+        entries.subList(0, (index - baseIndex).toInt()).clear()
+        baseIndex = index
+        baseTerm = term
+    }
+
+    fun replaceBy(
+        index: Long,
+        term: Long,
+        members: PersistentList<StoreMember>,
+    ) {
+        entries.clear()
+        changes.clear()
+        baseIndex = index
+        baseTerm = term
+        baseMembers = members
+    }
+
+    /** Entries in [from]..[to], cut after [maxEntries] or about [maxBytes]. */
+    fun slice(
+        from: Long,
+        to: Long = lastIndex,
+        maxEntries: Int = Int.MAX_VALUE,
+        maxBytes: Int = Int.MAX_VALUE,
+    ): List<LogEntry> {
+        val result = ArrayList<LogEntry>()
+        var bytes = 0
+        var index = from
+        while (index <= to && result.size < maxEntries && bytes < maxBytes) {
+            val entry = get(index++) ?: break
+            result += entry
+            bytes += entry.approximateBytes()
+        }
+        return result
+    }
+
+    private class MemberChange(
+        val index: Long,
+        val members: PersistentList<StoreMember>,
+    )
+}
+
+/** A rough size, for bounds on batches and on the log between snapshots. */
+internal fun LogEntry.approximateBytes(): Int =
+    when (val command = timed.command) {
+        is Command.FinishClaim -> ENTRY_BYTES + (command.result.body?.length ?: 0)
+        is Command.PublishConfig -> ENTRY_BYTES + command.services.size * ENTRY_BYTES
+        else -> ENTRY_BYTES
+    }
+
+private const val ENTRY_BYTES = 300
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
@@ -0,0 +1,33 @@
+package samphirechute.state.raft
+
+/**
+ * Times and bounds of the replicated log. A lost leader is replaced within [electionMaxMs], one vote and one write,
+ * which keeps the target of 1 s from leader loss to the next commit.
+ */
+data class RaftTimings(
+    val heartbeatMs: Long = 100,
+    val electionMinMs: Long = 300,
+    val electionMaxMs: Long = 600,
+    /** Wait before an election that got no majority is tried again. */
+    val retryMinMs: Long = 50,
+    val retryMaxMs: Long = 200,
+    /** Bounds the clock rate error and the scheduling delay between the leader and the voters that grant its lease. */
+    val leaseMarginMs: Long = 50,
+    /** A leader whose own write takes longer steps down; its followers cannot see that its disk hangs. */
+    val diskStallMs: Long = 1_000,
+    val helloMs: Long = 200,
+    /** A member being added that takes longer to catch up is refused. */
+    val catchUpMs: Long = 60_000,
+    /** A member being added counts once it lacks at most this many entries. */
+    val catchUpEntries: Long = 64,
+    val maxBatchEntries: Int = 512,
+    val maxBatchBytes: Int = 1024 * 1024,
+    /** Entries sent to a follower ahead of its acknowledgement. */
+    val maxInFlightEntries: Long = 4_096,
+    /** Proposals that wait for their commit; more are refused. */
+    val maxPending: Int = 10_000,
+    val snapshotEntries: Int = 10_000,
+    val snapshotBytes: Long = 16L * 1024 * 1024,
+    /** Entries kept in memory behind a snapshot, for followers that lag a little. */
+    val trailingEntries: Long = 2_000,
+)
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/store/ConfigRules.kt
@@ -0,0 +1,40 @@
+package samphirechute.state.store
+
+import kotlinx.collections.immutable.toPersistentList
+import samphirechute.state.command.Command
+import samphirechute.state.command.CommandResult
+
+private const val MAX_PUBLISHES = 1_000
+
+/** Of several sets on one base revision the first is published; the others learn which revision and operation won. */
+internal fun StoreState.publish(command: Command.PublishConfig): Applied {
+    if (command.baseRevision > revision) {
+        return rejected("base_revision_ahead", "base revision ${command.baseRevision} is above $revision")
+    }
+    if (command.baseRevision < revision) {
+        val winning = publishes.find { it.revision == command.baseRevision + 1 } ?: publishes.lastOrNull()
+        return with(CommandResult.Conflict(winning?.revision ?: revision, winning?.operationId))
+    }
+    val repeated =
+        command.services
+            .groupBy { it.name }
+            .values
+            .firstOrNull { it.size > 1 }
+    if (repeated != null) return rejected("duplicate_service", "service '${repeated.first().name}' is listed twice")
+    val next = revision + 1
+    val room = if (publishes.size < MAX_PUBLISHES) publishes else publishes.removeAt(0)
+    return with(CommandResult.Published(next)) {
+        copy(
+            revision = next,
+            services = command.services.toPersistentList(),
+            publishes = room.add(PublishRecord(next, command.operationId)),
+        )
+    }
+}
+
+/** The version grows only when the set of drained targets changes. */
+internal fun StoreState.setDrain(command: Command.SetDrain): Applied {
+    val next = if (command.isDrained) drains.add(command.target) else drains.remove(command.target)
+    if (next.size == drains.size) return with(CommandResult.Drained(drainVersion))
+    return with(CommandResult.Drained(drainVersion + 1)) { copy(drains = next, drainVersion = drainVersion + 1) }
+}
--- /dev/null
+++ b/state/src/main/kotlin/samphirechute/state/store/DocumentRules.kt
@@ -0,0 +1,75 @@
+package samphirechute.state.store
+
+import samphirechute.state.command.Claimant
+import samphirechute.state.command.Command
+import samphirechute.state.command.CommandResult
+
+/** The error of a document whose deadline passed before it had an answer. */
+const val DOCUMENT_DEADLINE_EXCEEDED = "deadline_exceeded"
+
+internal fun StoreState.acceptDocument(command: Command.AcceptDocument): Applied {
+    val current = documents[command.id]
+    if (current != null) {
+        val isSame = current.requestId == command.requestId && current.bodyDigest == command.bodyDigest
+        return if (isSame) with(CommandResult.Done) else rejected("document_id_taken", "'${command.id}' is in use")
+    }
+    if (command.deadlineMs <= atMs) return rejected("deadline_passed", "the deadline passed before acceptance")
+    if (documents.size >= limits.maxDocuments) {
+        return rejected("documents_full", "${limits.maxDocuments} documents are kept")
+    }
+    val record =
+        DocumentRecord(
+            command.id,
+            command.service,
+            command.requestId,
+            command.bodyDigest,
+            command.holders,
+            atMs,
+            command.deadlineMs,
+        )
+    return with(CommandResult.Done) { copy(documents = documents.put(command.id, record)) }
+}
+
+/** Gives the document to a runner, or renews the lease of the runner that has it. */
+internal fun StoreState.assignDocument(command: Command.AssignDocument): Applied {
+    val current = documents[command.id] ?: return unknownDocument(command.id)
+    if (current.finishedMs != null) return rejected("document_finished", "'${command.id}' is finished")
+    if (isOutdated(command.runner)) return rejected("stale_incarnation", "${command.runner} has been restarted")
+    if (current.runner != command.runner && isLeased(current, command.runner)) {
+        return rejected("document_leased", "'${command.id}' is leased to ${current.runner?.instance}")
+    }
+    val record = current.copy(runner = command.runner, leaseUntilMs = atMs + command.leaseMs)
+    return with(CommandResult.Done) {
+        noteLife(command.runner).run { copy(documents = documents.put(command.id, record)) }
+    }
+}
+
+/** The last runner finishes its document; anyone may record that the deadline has passed. */
+internal fun StoreState.finishDocument(command: Command.FinishDocument): Applied {
+    val current = documents[command.id] ?: return unknownDocument(command.id)
+    val isHolder = current.runner == command.runner
+    val isTooLate = command.errorCode == DOCUMENT_DEADLINE_EXCEEDED && atMs > current.deadlineMs
+    if (current.finishedMs != null) {
+        return if (isHolder) with(CommandResult.Done) else rejected("document_finished", "'${command.id}' is finished")
+    }
+    if (!isHolder && !isTooLate) return rejected("document_not_held", "'${command.id}' has another runner")
+    val record =
+        current.copy(
+            finishedMs = atMs,
+            answerDigest = command.answerDigest,
+            answerHolders = command.holders,
+            errorCode = command.errorCode,
+        )
+    return with(CommandResult.Done) { copy(documents = documents.put(command.id, record)) }
+}
+
+private fun StoreState.isLeased(
+    record: DocumentRecord,
+    asking: Claimant,
+): Boolean {
+    val runner = record.runner ?: return false
+    val isRestarted = runner.instance == asking.instance && runner.incarnation < asking.incarnation
+    return record.leaseUntilMs > atMs && !isOutdated(runner) && !isRestarted
+}
+
+private fun StoreState.unknownDocument(id: String) = rejected("document_unknown", "'$id' is unknown or has expired")
--- /dev/null
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimNetwork.kt
@@ -0,0 +1,48 @@
+package samphirechute.state.sim
+
+import samphirechute.core.InstanceId
+import samphirechute.core.time.VirtualTimer
+import samphirechute.state.raft.RaftMessage
+import kotlin.random.Random
+
+/** Delivers messages after a random delay, and loses, repeats and delays them as told. */
+internal class SimNetwork(
+    private val timer: VirtualTimer,
+    private val random: Random,
+    private val deliver: (InstanceId, RaftMessage) -> Unit,
+) {
+    private val cuts = mutableSetOf<Pair<InstanceId, InstanceId>>()
+    var lossPercent = 0
+    var repeatPercent = 0
+    var maxDelayMs = 3L
+
+    fun send(
+        from: InstanceId,
+        to: InstanceId,
+        message: RaftMessage,
+    ) {
+        if (from to to in cuts || random.nextInt(PERCENT) < lossPercent) return
+        val copies = if (random.nextInt(PERCENT) < repeatPercent) 2 else 1
+        repeat(copies) {
+            timer.after(1 + random.nextLong(maxDelayMs)) { if (from to to !in cuts) deliver(to, message) }
+        }
+    }
+
+    fun cut(
+        from: InstanceId,
+        to: InstanceId,
+    ) {
+        cuts += from to to
+    }
+
+    fun heal() {
+        cuts.clear()
+        lossPercent = 0
+        repeatPercent = 0
+        maxDelayMs = 3
+    }
+
+    private companion object {
+        const val PERCENT = 100
+    }
+}
