Run the whole path: caller, coordinator, claim, upstream, answer

Cause: the parts decided but nothing ran. The daemon now joins them: a filter chain admits requests, a runner carries out the request flow, controllers carry the coordinator lease, the ledger, synchronisation, claims and drains over HTTP, and the operator API publishes services and shows state.

A claim carries a sequence number of its instance now. Without it, a release that is committed late could free a later claim of the same request by the same instance, and the request would run twice.

A lone store leader did not become ready, since only answers of others counted; its own copy of the log counts as well now.

--- a/core/src/main/kotlin/samphirechute/core/engine/GenerateBody.kt
+++ b/core/src/main/kotlin/samphirechute/core/engine/GenerateBody.kt
@@ -29,3 +29,10 @@
     /** The attempt to stop; null stops the request whatever its attempt. */
     val attempt: Int? = null,
 )
+
+/** The body of an answer 429 or 503 to [GenerateBody]: the engine has not run the request that it names. */
+@Serializable
+data class RefusalBody(
+    @SerialName("request_id") val requestId: String? = null,
+    val code: String = "",
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
@@ -0,0 +1,150 @@
+package samphirechute.daemon
+
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import samphirechute.core.HostPort
+import samphirechute.core.settings.DaemonSettings
+import samphirechute.core.timeline.EventRing
+import samphirechute.daemon.caller.CallerApi
+import samphirechute.daemon.caller.RequestParts
+import samphirechute.daemon.controller.ClaimController
+import samphirechute.daemon.controller.CoordinatorController
+import samphirechute.daemon.controller.DigestController
+import samphirechute.daemon.controller.DrainController
+import samphirechute.daemon.controller.GrantController
+import samphirechute.daemon.controller.StoreClient
+import samphirechute.daemon.controller.StoreController
+import samphirechute.daemon.controller.SyncController
+import samphirechute.daemon.http.DaemonApi
+import samphirechute.daemon.metrics.RequestMetrics
+import samphirechute.daemon.operator.OperatorApi
+import samphirechute.daemon.operator.Views
+import samphirechute.daemon.peer.LeaseReply
+import samphirechute.daemon.peer.PeerApi
+import samphirechute.daemon.peer.PeerClient
+import samphirechute.daemon.peer.PeerRoutes
+import samphirechute.daemon.peer.SyncReply
+import samphirechute.net.EventLoop
+import samphirechute.net.HttpClient
+import samphirechute.net.HttpServer
+import samphirechute.net.ServerLimits
+import samphirechute.state.command.DrainTarget
+import samphirechute.state.lease.LeaseHolder
+import samphirechute.state.sync.SyncInput
+
+/** One instance of the system: its controllers, its interfaces, and how they are joined. */
+class Daemon(
+    private val settings: DaemonSettings,
+    private val loop: EventLoop,
+    incarnation: Long = System.currentTimeMillis(),
+    private val exit: (Int) -> Unit,
+) : AutoCloseable {
+    private val runtime = Runtime(settings, loop, HttpClient(loop), EventRing(settings.instance), incarnation)
+    private val registry = PrometheusRegistry()
+    private val peerClient = PeerClient(runtime)
+    private val store = settings.store?.let { StoreController(runtime, peerClient, it) }
+    private val storeClient = StoreClient(runtime, peerClient, store)
+    private val sync = SyncController(runtime, peerClient)
+    private val coordinator = CoordinatorController(runtime, peerClient)
+    private val grants = GrantController(runtime, peerClient, coordinator, sync)
+    private val digests = DigestController(runtime, sync, coordinator, grants)
+    private val drains = DrainController(runtime, storeClient, sync)
+    private val lifecycle = Lifecycle(settings, sync)
+    private val parts =
+        RequestParts(runtime, grants, ClaimController(runtime, storeClient), RequestMetrics(registry))
+    private val callers = CallerApi(parts, lifecycle::refusalReason, sync::service)
+    private val operators =
+        OperatorApi(runtime, storeClient, drains, Views(runtime, lifecycle, sync, coordinator, store))
+    private val peerApi = PeerApi()
+    private val api = DaemonApi(settings, lifecycle, callers, operators, peerApi, sync, registry)
+    private val server = HttpServer(loop, serverLimits(), api::handle)
+    private val stopper = Stopper(runtime, lifecycle, callers, ::leave, exit)
+
+    /** Listens and takes part in the system; returns the bound address. */
+    fun start(): HostPort {
+        join()
+        val address = server.bind(settings.listen)
+        loop.post {
+            runtime.ring.record("started", null, "address" to address, "failure_domain" to settings.failureDomain)
+            store?.start()
+            coordinator.start()
+            sync.start()
+            grants.start()
+            digests.start()
+        }
+        JvmMetrics.builder().register(registry)
+        return address
+    }
+
+    /** A signal to stop came; the second one ends the process at once. */
+    fun stopSignalled() = loop.post { stopper.signalled() }
+
+    override fun close() {
+        server.close()
+        store?.close()
+    }
+
+    private fun join() {
+        joinState()
+        joinPeers()
+    }
+
+    private fun joinState() {
+        coordinator.onHolderChanged = ::holderChanged
+        sync.onDrainsChanged = ::drainsChanged
+        sync.onDigests = { digests.heard() }
+        sync.onGrantsHeld = coordinator::renewed
+        sync.onReports = coordinator::reported
+        sync.onCommitDrain = drains::commit
+        sync.onUndrainSettled = drains::undrainSettled
+        store?.onConfiguration = { sync.feed(SyncInput.ConfigurationCommitted(it)) }
+        store?.onDrainRecord = { sync.feed(SyncInput.DrainEvent(it)) }
+        store?.onCurrencyChanged = { sync.feed(SyncInput.StoreCurrencyChanged(it)) }
+    }
+
+    private fun joinPeers() {
+        peerApi.on(PeerRoutes.grants) { request, exchange ->
+            exchange.onAborted { coordinator.withdraw(request.key) }
+            coordinator.ask(request) { exchange.answer(it) }
+        }
+        peerApi.on(PeerRoutes.releases) { message, exchange ->
+            coordinator.release(message.key, message.result)
+            exchange.answer(Unit)
+        }
+        peerApi.on(PeerRoutes.upstreams) { message, exchange ->
+            coordinator.reported(message.reports)
+            exchange.answer(Unit)
+        }
+        peerApi.on(PeerRoutes.sync) { message, exchange -> exchange.answer(SyncReply(sync.received(message))) }
+        peerApi.on(PeerRoutes.lease) { envelope, exchange ->
+            exchange.answer(LeaseReply(coordinator.received(envelope)))
+        }
+        store?.serve(peerApi)
+    }
+
+    private fun holderChanged(holder: LeaseHolder?) {
+        sync.feed(SyncInput.CoordinatorChanged(holder))
+        digests.heard()
+    }
+
+    private fun drainsChanged(targets: Set<DrainTarget>) {
+        coordinator.drainsChanged(targets)
+        // A drained instance hands the lease back; the coordinator of a drained failure domain keeps it, so that
+        // the work still running there stays accounted for.
+        coordinator.eligibilityChanged(!lifecycle.isLeaving && DrainTarget.Instance(settings.instance) !in targets)
+        digests.publish()
+    }
+
+    private fun leave() {
+        sync.feed(SyncInput.Leaving)
+        coordinator.eligibilityChanged(false)
+    }
+
+    private fun serverLimits() =
+        ServerLimits(
+            maxHeadBytes = settings.limits.maxHeadBytes,
+            maxBodyBytes = settings.limits.maxBodyBytes,
+            maxBufferedBytes = settings.limits.maxBufferedBytes,
+            maxConnections = settings.limits.maxConnections,
+        )
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/CallerApi.kt
@@ -0,0 +1,122 @@
+package samphirechute.daemon.caller
+
+import com.github.michaelbull.result.fold
+import samphirechute.core.ServiceName
+import samphirechute.core.service.ServiceSpec
+import samphirechute.core.service.ServiceTarget
+import samphirechute.core.service.Urgency
+import samphirechute.daemon.http.refuse
+import samphirechute.daemon.upstream.ApplicationProtocol
+import samphirechute.daemon.upstream.EngineProtocol
+import samphirechute.daemon.upstream.UpstreamProtocol
+import samphirechute.net.Exchange
+import samphirechute.state.command.ClaimKey
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Answers callers: passes a request through the filter chain, and runs it. */
+internal class CallerApi(
+    private val parts: RequestParts,
+    notReadyReason: () -> String?,
+    serviceInForce: (ServiceName) -> ServiceSpec?,
+) {
+    private val filters =
+        FilterChain(
+            listOf(
+                ReadinessFilter(notReadyReason),
+                RouteFilter(),
+                ServiceFilter(serviceInForce),
+                IdentityFilter(),
+                DeadlineFilter(),
+                EstimateFilter(),
+            ),
+        )
+    private val running = HashSet<RequestRunner>()
+
+    /** Requests that have not got their final answer. */
+    val runningRequests: Int get() = running.size
+
+    fun handle(exchange: Exchange) {
+        filters.apply(RequestDraft(exchange.request)).fold(
+            { run(exchange, it) },
+            { error ->
+                parts.metrics.refused(error.code)
+                exchange.refuse(error)
+            },
+        )
+    }
+
+    private fun run(
+        exchange: Exchange,
+        draft: RequestDraft,
+    ) {
+        lateinit var runner: RequestRunner
+        runner =
+            RequestRunner(parts, draft, protocol(draft), writer(exchange, draft), claim(draft)) { running -= runner }
+        running += runner
+        exchange.onAborted = runner::callerGone
+        runner.start()
+    }
+
+    private fun claim(draft: RequestDraft) =
+        if (!draft.isNonRepeatable) {
+            null
+        } else {
+            val spec = draft.service
+            parts.claims.claim(ClaimKey(spec.team, spec.name, draft.requestId), digest(draft))
+        }
+
+    /** A resend has the same method, path and body. */
+    private fun digest(draft: RequestDraft): String {
+        val digest = MessageDigest.getInstance("SHA-256")
+        digest.update("${draft.source.method} ${draft.uri}\n".encodeToByteArray())
+        return HexFormat.of().formatHex(digest.digest(draft.source.body))
+    }
+
+    private fun protocol(draft: RequestDraft): UpstreamProtocol {
+        val client = parts.runtime.client
+        return when (val target = draft.service.target) {
+            is ServiceTarget.Model -> {
+                EngineProtocol(
+                    client,
+                    target.pool.value,
+                    draft.prompt,
+                    draft.promptTokens,
+                    draft.maxTokens,
+                    priority(draft.service.urgency),
+                )
+            }
+
+            is ServiceTarget.Application -> {
+                ApplicationProtocol(client, draft.source, draft.uri)
+            }
+        }
+    }
+
+    private fun writer(
+        exchange: Exchange,
+        draft: RequestDraft,
+    ): AnswerWriter =
+        when (val form = draft.form) {
+            is AnswerForm.PassThrough -> {
+                PassThroughWriter(exchange)
+            }
+
+            is AnswerForm.Completion -> {
+                val createdSeconds = System.currentTimeMillis() / MS_PER_SECOND
+                val chunks = CompletionChunks(draft.requestId.value, form.model, form.isChat, createdSeconds)
+                if (form.isStream) StreamWriter(exchange, chunks) else WholeWriter(exchange, chunks, draft.promptTokens)
+            }
+        }
+
+    private fun priority(urgency: Urgency) =
+        when (urgency) {
+            Urgency.INTERACTIVE -> 0
+            Urgency.NORMAL -> 1
+            Urgency.BACKGROUND -> 2
+        }
+
+    private companion object {
+        const val MS_PER_SECOND = 1_000
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/PassThroughWriter.kt
@@ -0,0 +1,35 @@
+package samphirechute.daemon.caller
+
+import samphirechute.daemon.http.RequestError
+import samphirechute.daemon.http.refuse
+import samphirechute.net.Exchange
+
+/** Answers with what an application answered. */
+internal class PassThroughWriter(
+    private val exchange: Exchange,
+) : AnswerWriter {
+    private var status = 200
+    private var contentType = "application/octet-stream"
+    private var body = ""
+    override val isWritable = true
+    override var onWritable: () -> Unit = {}
+
+    override fun head(
+        status: Int,
+        contentType: String,
+    ) {
+        this.status = status
+        this.contentType = contentType
+    }
+
+    override fun deliver(
+        offset: Long,
+        texts: List<String>,
+    ) {
+        body += texts.joinToString("")
+    }
+
+    override fun complete() = exchange.respond(status, contentType, body.toByteArray(Charsets.ISO_8859_1))
+
+    override fun fail(error: RequestError) = exchange.refuse(error)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
@@ -0,0 +1,217 @@
+package samphirechute.daemon.controller
+
+import com.github.michaelbull.result.get
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.JsonElement
+import samphirechute.core.HostPort
+import samphirechute.core.InstanceId
+import samphirechute.core.UpstreamId
+import samphirechute.core.settings.PeerSettings
+import samphirechute.daemon.Runtime
+import samphirechute.daemon.peer.GrantReply
+import samphirechute.daemon.peer.LeaseEnvelope
+import samphirechute.daemon.peer.PeerClient
+import samphirechute.daemon.peer.PeerJson
+import samphirechute.daemon.peer.PeerRoutes
+import samphirechute.daemon.upstream.AnnouncementReader
+import samphirechute.daemon.upstream.EngineProtocol
+import samphirechute.routing.Grant
+import samphirechute.routing.GrantKey
+import samphirechute.routing.GrantRequest
+import samphirechute.routing.GrantResult
+import samphirechute.routing.RefusalReason
+import samphirechute.routing.UpstreamReport
+import samphirechute.routing.ledger.DomainLedger
+import samphirechute.routing.ledger.LedgerInput
+import samphirechute.routing.ledger.LedgerOutput
+import samphirechute.state.command.DrainTarget
+import samphirechute.state.lease.DomainLease
+import samphirechute.state.lease.LeaseHolder
+import samphirechute.state.lease.LeaseInput
+import samphirechute.state.lease.LeaseMessage
+import samphirechute.state.lease.LeaseOutput
+import samphirechute.state.lease.LeaseSettings
+import kotlin.random.Random
+
+/** Takes part in the lease of the own failure domain, and keeps its ledger while this instance holds the lease. */
+internal class CoordinatorController(
+    private val runtime: Runtime,
+    private val peerClient: PeerClient,
+) {
+    private val settings = runtime.settings
+    private val voters: Map<InstanceId, PeerSettings> =
+        (settings.peers + settings.self)
+            .filter {
+                it.failureDomain == settings.failureDomain
+            }.associateBy { it.instance }
+    private val lease = DomainLease(leaseSettings(), Random(runtime.incarnation))
+    private val ledger = DomainLedger()
+    private val waiting = HashMap<GrantKey, (GrantReply) -> Unit>()
+    private val reports = HashMap<UpstreamId, UpstreamReport>()
+    private var isActive = false
+
+    var onHolderChanged: (LeaseHolder?) -> Unit = {}
+
+    val holder: LeaseHolder? get() = lease.holder
+    val isCoordinator: Boolean get() = isActive && lease.isHolding(runtime.nowMs)
+
+    fun start() {
+        runtime.timer.every(TICK_MS, ::tick)
+    }
+
+    /** Decides on a grant request now or later; [onReply] is called once, unless the request is withdrawn. */
+    fun ask(
+        request: GrantRequest,
+        onReply: (GrantReply) -> Unit,
+    ) {
+        if (!isCoordinator) return onReply(GrantReply(reason = RefusalReason.NOT_COORDINATOR, retryAfterMs = RETRY_MS))
+        waiting[request.key] = onReply
+        feed(LedgerInput.Asked(request))
+    }
+
+    fun withdraw(key: GrantKey) {
+        waiting.remove(key)
+        feed(LedgerInput.Withdrawn(key))
+    }
+
+    fun release(
+        key: GrantKey,
+        result: GrantResult,
+    ) = feed(LedgerInput.Released(key, result))
+
+    fun renewed(
+        instance: InstanceId,
+        payload: JsonElement?,
+    ) {
+        if (!isCoordinator) return
+        feed(LedgerInput.Renewed(instance, payload?.let(::readGrants).orEmpty()))
+    }
+
+    fun reported(announcements: List<JsonElement>) {
+        for (announcement in announcements) {
+            val report = AnnouncementReader.read(announcement.toString()).get() ?: continue
+            if (report.failureDomain != settings.failureDomain) continue
+            reports[report.upstream] = report
+            feed(LedgerInput.Reported(report))
+        }
+    }
+
+    fun drainsChanged(targets: Set<DrainTarget>) {
+        val upstreams = targets.filterIsInstance<DrainTarget.Upstream>().mapTo(mutableSetOf()) { it.upstream }
+        feed(LedgerInput.DrainsChanged(upstreams, DrainTarget.Domain(settings.failureDomain) in targets))
+    }
+
+    fun eligibilityChanged(isEligible: Boolean) = feed(LeaseInput.EligibilityChanged(isEligible))
+
+    fun received(envelope: LeaseEnvelope): LeaseMessage? {
+        var answer: LeaseMessage? = null
+        for (output in lease.handle(LeaseInput.Received(envelope.from, envelope.message), runtime.nowMs)) {
+            if (output is LeaseOutput.Answer) answer = output.message else execute(output)
+        }
+        return answer
+    }
+
+    fun digest() = ledger.digest(runtime.nowMs)
+
+    fun views() = ledger.views(runtime.nowMs)
+
+    fun report(upstream: UpstreamId): UpstreamReport? = reports[upstream]
+
+    private fun tick() {
+        feed(LeaseInput.Ticked)
+        if (isActive) feed(LedgerInput.Ticked)
+    }
+
+    private fun feed(input: LeaseInput) = lease.handle(input, runtime.nowMs).forEach(::execute)
+
+    private fun feed(input: LedgerInput) {
+        if (isActive && !lease.isHolding(runtime.nowMs)) feed(LeaseInput.Ticked)
+        ledger.handle(input, runtime.nowMs).forEach(::execute)
+    }
+
+    private fun execute(output: LeaseOutput) {
+        when (output) {
+            is LeaseOutput.Send -> send(output)
+            is LeaseOutput.Answer -> Unit
+            is LeaseOutput.Acquired -> acquired(output.epoch)
+            is LeaseOutput.Lost -> lost(output)
+            is LeaseOutput.HolderChanged -> onHolderChanged(output.holder)
+        }
+    }
+
+    private fun acquired(epoch: Long) {
+        runtime.ring.record("coordinator_elected", null, "epoch" to epoch)
+        isActive = true
+        ledger.handle(LedgerInput.EpochBegan(epoch), runtime.nowMs).forEach(::execute)
+    }
+
+    private fun lost(output: LeaseOutput.Lost) {
+        runtime.ring.record("coordinator_lost", null, "epoch" to output.epoch, "reason" to output.reason)
+        isActive = false
+        ledger.handle(LedgerInput.EpochEnded, runtime.nowMs).forEach(::execute)
+    }
+
+    private fun send(output: LeaseOutput.Send) {
+        val address = voters[output.to]?.address ?: return
+        val envelope = LeaseEnvelope(settings.instance, output.message)
+        peerClient.call(address, PeerRoutes.lease, envelope, LEASE_TIMEOUT_MS) { result ->
+            result.get()?.message?.let { feed(LeaseInput.Received(output.to, it)) }
+        }
+    }
+
+    private fun execute(output: LedgerOutput) {
+        when (output) {
+            is LedgerOutput.Granted -> {
+                answer(output.grant.key, GrantReply(grant = output.grant))
+            }
+
+            is LedgerOutput.Refused -> {
+                answer(output.key, GrantReply(reason = output.reason, retryAfterMs = output.retryAfterMs))
+            }
+
+            is LedgerOutput.Reclaim -> {
+                reclaim(output)
+            }
+
+            is LedgerOutput.Noted -> {
+                runtime.ring.record(output.event, null, *output.fields.toList().toTypedArray())
+            }
+        }
+    }
+
+    private fun answer(
+        key: GrantKey,
+        reply: GrantReply,
+    ) {
+        waiting.remove(key)?.invoke(reply)
+    }
+
+    private fun reclaim(output: LedgerOutput.Reclaim) {
+        val address: HostPort = reports[output.upstream]?.address ?: return
+        runtime.ring.record("memory_reclaimed", output.requestId, "upstream" to output.upstream)
+        EngineProtocol.cancelAt(runtime.client, address, output.requestId, attempt = null)
+    }
+
+    private fun readGrants(payload: JsonElement): List<Grant> =
+        try {
+            PeerJson.decodeFromJsonElement(ListSerializer(Grant.serializer()), payload)
+        } catch (_: SerializationException) {
+            emptyList()
+        }
+
+    private fun leaseSettings() =
+        LeaseSettings(
+            settings.instance,
+            settings.failureDomain,
+            settings.listen,
+            runtime.incarnation,
+            voters.keys,
+        )
+
+    private companion object {
+        const val TICK_MS = 50L
+        const val LEASE_TIMEOUT_MS = 500L
+        const val RETRY_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/DrainController.kt
@@ -0,0 +1,71 @@
+package samphirechute.daemon.controller
+
+import samphirechute.core.OperationId
+import samphirechute.core.time.Subscription
+import samphirechute.daemon.Runtime
+import samphirechute.state.command.Command
+import samphirechute.state.command.CommandResult
+import samphirechute.state.command.DrainTarget
+import samphirechute.state.drain.DrainInput
+import samphirechute.state.drain.DrainOutput
+import samphirechute.state.sync.SyncInput
+
+/** Takes the operators' drains, and commits them when a store leader can be reached. */
+internal class DrainController(
+    private val runtime: Runtime,
+    private val store: StoreClient,
+    private val sync: SyncController,
+) {
+    private val waiting = HashMap<OperationId, Waiting>()
+
+    /** Takes an order. [onReply] gets the version of the committed record, or null when it is not committed in time. */
+    fun order(
+        operationId: OperationId,
+        target: DrainTarget,
+        isDrained: Boolean,
+        onReply: (Long?) -> Unit,
+    ) {
+        runtime.ring.record("drain_ordered", null, "target" to target.label(), "drained" to isDrained)
+        waiting.remove(operationId)?.timeout?.cancel()
+        val timeout = runtime.timer.after(REPLY_TIMEOUT_MS) { reply(operationId, null) }
+        waiting[operationId] = Waiting(onReply, timeout)
+        val input =
+            if (isDrained) DrainInput.Ordered(operationId, target) else DrainInput.UndrainOrdered(operationId, target)
+        sync.feed(SyncInput.DrainEvent(input))
+    }
+
+    fun commit(command: Command.SetDrain) {
+        store.propose(command, COMMIT_TIMEOUT_MS) { result ->
+            val drained = (result as? StoreResult.Committed)?.result as? CommandResult.Drained
+            val input =
+                if (drained == null) {
+                    DrainInput.CommitFailed(command.operationId)
+                } else {
+                    DrainInput.Settled(command.operationId, drained.drainVersion)
+                }
+            sync.feed(SyncInput.DrainEvent(input))
+            if (drained != null && command.isDrained) reply(command.operationId, drained.drainVersion)
+        }
+    }
+
+    fun undrainSettled(result: DrainOutput.UndrainSettled) = reply(result.operationId, result.drainVersion)
+
+    private fun reply(
+        operationId: OperationId,
+        drainVersion: Long?,
+    ) {
+        val entry = waiting.remove(operationId) ?: return
+        entry.timeout.cancel()
+        entry.onReply(drainVersion)
+    }
+
+    private class Waiting(
+        val onReply: (Long?) -> Unit,
+        val timeout: Subscription,
+    )
+
+    private companion object {
+        const val REPLY_TIMEOUT_MS = 3_000L
+        const val COMMIT_TIMEOUT_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerClient.kt
@@ -0,0 +1,72 @@
+package samphirechute.daemon.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import samphirechute.core.HostPort
+import samphirechute.daemon.Runtime
+import samphirechute.net.ClientCall
+import samphirechute.net.ClientFailure
+import samphirechute.net.ClientRequest
+import samphirechute.net.ClientResponse
+
+/** The JSON of messages between instances. */
+internal val PeerJson =
+    Json {
+        ignoreUnknownKeys = true
+        allowStructuredMapKeys = true
+    }
+
+/** Calls other instances. A pooled connection that let a call time out is retired, since it may be silent for good. */
+internal class PeerClient(
+    private val runtime: Runtime,
+) {
+    private val headers =
+        runtime.settings.keys.peer
+            ?.let { mapOf("Authorization" to "Bearer $it") }
+            .orEmpty()
+
+    fun <Q, A> call(
+        address: HostPort,
+        route: PeerRoute<Q, A>,
+        message: Q,
+        timeoutMs: Long,
+        onResult: (Result<A, PeerError>) -> Unit,
+    ): ClientCall {
+        val body = PeerJson.encodeToString(route.request, message).encodeToByteArray()
+        val request = ClientRequest(address, "POST", route.path, body, headers = headers)
+        return runtime.client.call(request, timeoutMs) { result ->
+            result.fold({ onResult(read(it, route.reply)) }, { onResult(Err(failed(address, it))) })
+        }
+    }
+
+    private fun failed(
+        address: HostPort,
+        failure: ClientFailure,
+    ): PeerError {
+        if (failure is ClientFailure.TimedOut) runtime.client.retire(address)
+        val isUnsent = failure is ClientFailure.ConnectFailed
+        return if (isUnsent) PeerError.Unreachable(failure.message) else PeerError.Lost(failure.message)
+    }
+
+    private fun <A> read(
+        response: ClientResponse,
+        serializer: KSerializer<A>,
+    ): Result<A, PeerError> {
+        val text = response.body.decodeToString()
+        if (response.status != OK) return Err(PeerError.Refused(response.status, text))
+        return try {
+            Ok(PeerJson.decodeFromString(serializer, text))
+        } catch (error: SerializationException) {
+            Err(PeerError.Lost("unreadable answer: ${error.message}"))
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerRoute.kt
@@ -0,0 +1,84 @@
+package samphirechute.daemon.peer
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.serializer
+import kotlinx.serialization.json.JsonElement
+import samphirechute.core.HostPort
+import samphirechute.core.InstanceId
+import samphirechute.routing.Grant
+import samphirechute.routing.GrantKey
+import samphirechute.routing.GrantRequest
+import samphirechute.routing.GrantResult
+import samphirechute.routing.RefusalReason
+import samphirechute.state.command.Command
+import samphirechute.state.command.CommandResult
+import samphirechute.state.lease.LeaseMessage
+import samphirechute.state.raft.RaftMessage
+import samphirechute.state.sync.SyncMessage
+
+/** One path between instances with the messages that it carries. */
+internal class PeerRoute<Q, A>(
+    val path: String,
+    val request: KSerializer<Q>,
+    val reply: KSerializer<A>,
+)
+
+/** All paths between instances. */
+internal object PeerRoutes {
+    val grants = PeerRoute("/peer/v1/grants", GrantRequest.serializer(), GrantReply.serializer())
+    val releases = PeerRoute("/peer/v1/grants/release", ReleaseMessage.serializer(), Unit.serializer())
+    val upstreams = PeerRoute("/peer/v1/upstreams", ReportsMessage.serializer(), Unit.serializer())
+    val sync = PeerRoute("/peer/v1/sync", SyncMessage.serializer(), SyncReply.serializer())
+    val lease = PeerRoute("/peer/v1/lease", LeaseEnvelope.serializer(), LeaseReply.serializer())
+    val commands = PeerRoute("/peer/v1/commands", Command.serializer(), CommandReply.serializer())
+    val raft = PeerRoute("/peer/v1/raft", RaftMessage.serializer(), Unit.serializer())
+}
+
+/** The decision on a grant request; exactly one part is set. */
+@Serializable
+internal data class GrantReply(
+    val grant: Grant? = null,
+    val reason: RefusalReason? = null,
+    val retryAfterMs: Long = 0,
+)
+
+@Serializable
+internal data class ReleaseMessage(
+    val key: GrantKey,
+    val result: GrantResult,
+)
+
+/** Announcements of upstreams, as they were received. */
+@Serializable
+internal data class ReportsMessage(
+    val reports: List<JsonElement>,
+)
+
+@Serializable
+internal data class SyncReply(
+    val message: SyncMessage? = null,
+)
+
+@Serializable
+internal data class LeaseEnvelope(
+    val from: InstanceId,
+    val message: LeaseMessage,
+)
+
+@Serializable
+internal data class LeaseReply(
+    val message: LeaseMessage? = null,
+)
+
+/** What became of a command at a store member. */
+@Serializable
+internal data class CommandReply(
+    val outcome: CommandOutcome,
+    val result: CommandResult? = null,
+    val leader: HostPort? = null,
+    val message: String? = null,
+)
+
+@Serializable
+internal enum class CommandOutcome { COMMITTED, NOT_LEADER, REFUSED, UNKNOWN }
--- /dev/null
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
@@ -0,0 +1,171 @@
+package samphirechute.daemon.upstream
+
+import io.netty.buffer.ByteBuf
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import samphirechute.core.HostPort
+import samphirechute.core.RequestId
+import samphirechute.core.engine.CancelBody
+import samphirechute.core.engine.GenerateBody
+import samphirechute.core.engine.RefusalBody
+import samphirechute.core.engine.TokenLine
+import samphirechute.net.ClientCall
+import samphirechute.net.ClientFailure
+import samphirechute.net.ClientRequest
+import samphirechute.net.HttpClient
+import samphirechute.net.ResponseListener
+import samphirechute.routing.Grant
+import samphirechute.routing.flow.AttemptFailure
+import java.io.ByteArrayOutputStream
+
+/** The HTTP protocol of model engines: one JSON line for each token. */
+internal class EngineProtocol(
+    private val client: HttpClient,
+    private val model: String,
+    private val prompt: String,
+    private val promptTokens: Long,
+    private val maxTokens: Long,
+    private val priority: Int,
+) : UpstreamProtocol {
+    override fun start(
+        work: UpstreamWork,
+        listener: AttemptListener,
+    ): UpstreamAttempt {
+        val request =
+            ClientRequest(
+                work.grant.primary.address,
+                "POST",
+                "/v1/generate",
+                json.encodeToString(GenerateBody.serializer(), body(work)).encodeToByteArray(),
+                useFreshConnection = work.useFreshConnection,
+            )
+        return EngineAttempt(listener).also { it.call = client.send(request, it) }
+    }
+
+    override fun cancel(
+        grant: Grant,
+        requestId: RequestId,
+        attempt: Int?,
+    ) {
+        grant.parts.forEach { cancelAt(client, it.address, requestId, attempt) }
+    }
+
+    private fun body(work: UpstreamWork) =
+        GenerateBody(
+            requestId = work.requestId,
+            attempt = work.attempt,
+            model = model,
+            prompt = prompt,
+            promptTokens = promptTokens,
+            maxTokens = maxTokens,
+            resumeOffset = work.resumeOffset,
+            priority = priority,
+            deadlineMs = work.remainingMs,
+            lenders =
+                work.grant.parts
+                    .drop(1)
+                    .map { it.address.toString() },
+        )
+
+    private class EngineAttempt(
+        private val listener: AttemptListener,
+    ) : ResponseListener,
+        UpstreamAttempt {
+        var call: ClientCall? = null
+        private val lines = LineSplitter(MAX_LINE_BYTES)
+        private val refusal = ByteArrayOutputStream()
+        private val batch = TokenBatch(listener)
+        private var status = 0
+        private var isDone = false
+
+        override fun onSending() = listener.onSending()
+
+        override fun onHead(
+            status: Int,
+            headers: Map<String, String>,
+        ) {
+            this.status = status
+            if (status == OK) listener.onHead(status, headers["content-type"].orEmpty())
+        }
+
+        override fun onBody(piece: ByteBuf) {
+            if (isDone) return
+            if (status != OK) {
+                piece.readBytes(refusal, minOf(piece.readableBytes(), MAX_LINE_BYTES - refusal.size()))
+                return
+            }
+            val isWithinBounds = lines.feed(piece) { if (!isDone) line(it) }
+            if (!isDone) batch.flush()
+            if (!isWithinBounds) garbage()
+        }
+
+        override fun onEnd() {
+            if (isDone) return
+            isDone = true
+            if (status == OK) return listener.onFailure(AttemptFailure.CLOSED)
+            listener.onFailure(refusal(status), refusedRequest(refusal.toString(Charsets.UTF_8)))
+        }
+
+        override fun onFailure(failure: ClientFailure) {
+            if (isDone) return
+            isDone = true
+            listener.onFailure(failure.toAttemptFailure())
+        }
+
+        override fun cancel() {
+            isDone = true
+            call?.cancel()
+        }
+
+        override fun setReading(isReading: Boolean) {
+            call?.setReading(isReading)
+        }
+
+        private fun line(text: String) {
+            val line = parse(text) ?: return garbage()
+            if (!line.done) return batch.add(line)
+            batch.flush()
+            isDone = true
+            listener.onEnd(line.requestId, line.totalTokens, line.cachedTokens)
+        }
+
+        private fun parse(text: String): TokenLine? =
+            try {
+                json.decodeFromString(TokenLine.serializer(), text)
+            } catch (_: SerializationException) {
+                null
+            }
+
+        private fun garbage() {
+            if (isDone) return
+            isDone = true
+            call?.cancel()
+            listener.onFailure(AttemptFailure.GARBAGE)
+        }
+    }
+
+    companion object {
+        private const val OK = 200
+        private const val MAX_LINE_BYTES = 64 * 1024
+        private const val CANCEL_TIMEOUT_MS = 2_000L
+        private val json = Json { ignoreUnknownKeys = true }
+
+        private fun refusedRequest(text: String): String? =
+            try {
+                json.decodeFromString(RefusalBody.serializer(), text).requestId
+            } catch (_: SerializationException) {
+                null
+            }
+
+        /** Asks an engine to free what it holds for a request; an engine that does not answer is asked again by its ledger. */
+        fun cancelAt(
+            client: HttpClient,
+            address: HostPort,
+            requestId: RequestId,
+            attempt: Int?,
+        ) {
+            val body = json.encodeToString(CancelBody.serializer(), CancelBody(requestId, attempt))
+            client.call(ClientRequest(address, "POST", "/v1/cancel", body.encodeToByteArray()), CANCEL_TIMEOUT_MS) {}
+        }
+    }
+}
--- a/state/src/main/kotlin/samphirechute/state/command/Command.kt
+++ b/state/src/main/kotlin/samphirechute/state/command/Command.kt
@@ -148,11 +148,15 @@
     val requestId: RequestId,
 )
 
-/** One life of one instance: a restart has a higher incarnation. */
+/**
+ * One life of one instance: a restart has a higher incarnation. [sequence] tells the claims of one life apart, so that
+ * a release which is committed late cannot free a later claim of the same request by the same instance.
+ */
 @Serializable
 data class Claimant(
     val instance: InstanceId,
     val incarnation: Long,
+    val sequence: Long = 0,
 )
 
 /** The outcome of a non-repeatable request. [body] is null when the answer was too large to keep. */
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
@@ -63,7 +63,7 @@
             is SyncInput.Received -> onMessage(input.message, nowMs, outputs)
             is SyncInput.Failed -> onFailed(input.to, nowMs, outputs)
             is SyncInput.ConfigurationCommitted -> onCommitted(input.configuration, nowMs, outputs)
-            is SyncInput.StoreCurrencyChanged -> state.isStoreCurrent = input.isCurrent
+            is SyncInput.StoreCurrencyChanged -> onStoreCurrency(input.isCurrent)
             is SyncInput.DrainEvent -> onDrains(input.input, nowMs, outputs)
             is SyncInput.CoordinatorChanged -> onCoordinator(input.holder, nowMs, outputs)
             is SyncInput.DigestChanged -> onDigest(input.payload, nowMs, outputs)
@@ -232,6 +232,12 @@
         push(null, nowMs, outputs)
     }
 
+    private fun onStoreCurrency(isCurrent: Boolean) {
+        state.isStoreCurrent = isCurrent
+        // The own copy of the log answers as well as that of another store member.
+        if (isCurrent) readiness.onAnswer(settings.self, isSufficient = true)
+    }
+
     private fun onDrains(
         input: DrainInput,
         nowMs: Long,
--- a/testkit/src/main/kotlin/samphirechute/testkit/StandInEngine.kt
+++ b/testkit/src/main/kotlin/samphirechute/testkit/StandInEngine.kt
@@ -6,6 +6,7 @@
 import samphirechute.core.engine.Announcement
 import samphirechute.core.engine.CancelBody
 import samphirechute.core.engine.GenerateBody
+import samphirechute.core.engine.RefusalBody
 import samphirechute.core.engine.TokenLine
 import samphirechute.core.time.Subscription
 import samphirechute.net.EventLoop
@@ -48,7 +49,8 @@
         body: GenerateBody,
     ) {
         if (running.size >= options.maxConcurrency) {
-            return exchange.respond(429, JSON_TYPE, """{"error":{"code":"full"}}""".encodeToByteArray())
+            val refusal = json.encodeToString(RefusalBody.serializer(), RefusalBody(body.requestId.value, "full"))
+            return exchange.respond(429, JSON_TYPE, refusal.encodeToByteArray())
         }
         val request = Running(body, exchange.startStream(200, "application/x-ndjson"))
         running[body.requestId] = request
