Pass end-to-end headers on, and leave coordinators that were replaced

An application saw only the content type of a request, and its caller only that of the answer. Headers that belong to no single connection now pass both ways. A request that waited for a coordinator which had been replaced or was not heard of waited until its deadline; it now moves on within the 3 s after which a digest is stale. An application attempt counted as sent before its connection was open, so a refused connection was told as unknown.

--- a/core/src/main/kotlin/samphirechute/core/settings/DaemonSettings.kt
+++ b/core/src/main/kotlin/samphirechute/core/settings/DaemonSettings.kt
@@ -44,7 +44,7 @@
 /** Bounds on what one instance takes in. */
 data class LimitSettings(
     val maxBodyBytes: Int = 8 * 1024 * 1024,
-    val maxBufferedBytes: Long = 24L * 1024 * 1024,
+    val maxBufferedBytes: Long = 16L * 1024 * 1024,
     val maxHeadBytes: Int = 16 * 1024,
     val maxConnections: Int = 4_096,
     val stopLimitMs: Long = 600_000,
--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/AnswerWriter.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/AnswerWriter.kt
@@ -12,6 +12,7 @@
     fun head(
         status: Int,
         contentType: String,
+        headers: Map<String, String> = emptyMap(),
     ) = Unit
 
     fun deliver(
--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/CallerApi.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/CallerApi.kt
@@ -50,9 +50,11 @@
         exchange: Exchange,
         draft: RequestDraft,
     ) {
+        val claim = claim(draft)
+        // The prompt has been read from the body; only an application still needs it.
+        if (draft.form is AnswerForm.Completion) exchange.request.dropBody()
         lateinit var runner: RequestRunner
-        runner =
-            RequestRunner(parts, draft, protocol(draft), writer(exchange, draft), claim(draft)) { running -= runner }
+        runner = RequestRunner(parts, draft, protocol(draft), writer(exchange, draft), claim) { running -= runner }
         running += runner
         exchange.onAborted = runner::callerGone
         runner.start()
--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/PassThroughWriter.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/PassThroughWriter.kt
@@ -10,6 +10,7 @@
 ) : AnswerWriter {
     private var status = 200
     private var contentType = "application/octet-stream"
+    private var headers = emptyMap<String, String>()
     private var body = ""
     override val isWritable = true
     override var onWritable: () -> Unit = {}
@@ -17,9 +18,11 @@
     override fun head(
         status: Int,
         contentType: String,
+        headers: Map<String, String>,
     ) {
         this.status = status
         this.contentType = contentType
+        this.headers = headers
     }
 
     override fun deliver(
@@ -29,7 +32,7 @@
         body += texts.joinToString("")
     }
 
-    override fun complete() = exchange.respond(status, contentType, body.toByteArray(Charsets.ISO_8859_1))
+    override fun complete() = exchange.respond(status, contentType, body.toByteArray(Charsets.ISO_8859_1), headers)
 
     override fun fail(error: RequestError) = exchange.refuse(error)
 }
--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/RequestRunner.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/RequestRunner.kt
@@ -268,9 +268,10 @@
         override fun onHead(
             status: Int,
             contentType: String,
+            headers: Map<String, String>,
         ) {
             if (attempt !== this) return
-            writer.head(status, contentType)
+            writer.head(status, contentType, headers)
             record.head(status, contentType)
         }
 
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/GrantController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/GrantController.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.fold
 import kotlinx.serialization.builtins.ListSerializer
 import samphirechute.core.FailureDomain
+import samphirechute.core.InstanceId
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.peer.GrantReply
 import samphirechute.daemon.peer.PeerClient
@@ -33,7 +34,10 @@
     private val changed = HashSet<FailureDomain>()
 
     fun start() {
-        runtime.timer.every(RENEWAL_MS, ::tellHeldGrants)
+        runtime.timer.every(RENEWAL_MS) {
+            tellHeldGrants()
+            leaveLostCoordinators()
+        }
     }
 
     fun heard(digest: DomainDigest) = chooser.heard(digest, runtime.nowMs)
@@ -70,6 +74,13 @@
         peerClient.call(target.address, PeerRoutes.releases, ReleaseMessage(key, result), RELEASE_TIMEOUT_MS) { }
     }
 
+    /** A request does not wait for a coordinator that has been replaced or is not heard of any more. */
+    private fun leaveLostCoordinators() {
+        if (asks.isEmpty()) return
+        val current = chooser.digests(runtime.nowMs).associate { it.failureDomain to it.coordinator }
+        asks.values.toList().forEach { it.leaveUnless(current) }
+    }
+
     private fun tellHeldGrants() {
         for (domain in changed.toList()) {
             val grants = held.values.filter { it.target.failureDomain == domain }.map { it.grant }
@@ -125,6 +136,13 @@
                 }
         }
 
+        fun leaveUnless(coordinators: Map<FailureDomain, InstanceId?>) {
+            val asked = target ?: return
+            if (coordinators[asked.failureDomain] == asked.coordinator) return
+            withdraw()
+            askNext(RefusalReason.NOT_COORDINATOR, DEFAULT_RETRY_MS)
+        }
+
         fun withdraw() {
             val asked = target ?: return
             call?.cancel()
--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/ApplicationProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/ApplicationProtocol.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import samphirechute.core.RequestId
+import samphirechute.core.api.ApiHeaders
 import samphirechute.net.ClientCall
 import samphirechute.net.ClientFailure
 import samphirechute.net.ClientRequest
@@ -30,12 +31,15 @@
                 uri,
                 source.body,
                 source.header("Content-Type") ?: "application/octet-stream",
-                mapOf(REQUEST_ID to work.requestId.value, "X-Deadline-Ms" to work.remainingMs.toString()),
+                EndToEndHeaders.ofRequest(source.headers) + ownHeaders(work),
                 work.useFreshConnection,
             )
         return ApplicationAttempt(client, request, work, listener)
     }
 
+    private fun ownHeaders(work: UpstreamWork) =
+        mapOf(REQUEST_ID to work.requestId.value, ApiHeaders.DEADLINE_MS to work.remainingMs.toString())
+
     /** Closing the connection is all that a plain service understands. */
     override fun cancel(
         grant: Grant,
@@ -53,8 +57,7 @@
         private var isDone = false
 
         init {
-            listener.onSending()
-            call = client.call(request, work.remainingMs, MAX_ANSWER_BYTES, ::answered)
+            call = client.call(request, work.remainingMs, MAX_ANSWER_BYTES, listener::onSending, ::answered)
         }
 
         override fun cancel() {
@@ -73,7 +76,8 @@
         private fun answer(response: ClientResponse) {
             val requestId = response.headers[REQUEST_ID.lowercase()] ?: work.requestId.value
             if (requestId != work.requestId.value) return listener.onFailure(AttemptFailure.GARBAGE)
-            listener.onHead(response.status, response.headers["content-type"] ?: "application/octet-stream")
+            val contentType = response.headers["content-type"] ?: "application/octet-stream"
+            listener.onHead(response.status, contentType, EndToEndHeaders.ofResponse(response.headers))
             listener.onTokens(requestId, 0, listOf(String(response.body, Charsets.ISO_8859_1)))
             listener.onEnd(requestId, 1, 0)
         }
--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/UpstreamProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/UpstreamProtocol.kt
@@ -43,6 +43,7 @@
     fun onHead(
         status: Int,
         contentType: String,
+        headers: Map<String, String> = emptyMap(),
     )
 
     fun onTokens(
--- a/net/src/main/kotlin/samphirechute/net/HttpClient.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpClient.kt
@@ -33,14 +33,18 @@
         return call
     }
 
-    /** Sends a request and collects its answer, up to [maxBytes], within [timeoutMs]. */
+    /**
+     * Sends a request and collects its answer, up to [maxBytes], within [timeoutMs]. [onSending] is called before the
+     * first byte is written.
+     */
     fun call(
         request: ClientRequest,
         timeoutMs: Long,
         maxBytes: Int = 16 * 1024 * 1024,
+        onSending: () -> Unit = {},
         onResult: (Result<ClientResponse, ClientFailure>) -> Unit,
     ): ClientCall {
-        val collector = ResponseCollector(timeoutMs, maxBytes, loop.timer, onResult)
+        val collector = ResponseCollector(timeoutMs, maxBytes, loop.timer, onSending, onResult)
         return send(request, collector).also(collector::follow)
     }
 
--- a/net/src/main/kotlin/samphirechute/net/ResponseCollector.kt
+++ b/net/src/main/kotlin/samphirechute/net/ResponseCollector.kt
@@ -20,6 +20,7 @@
     private val timeoutMs: Long,
     private val maxBytes: Int,
     timer: TimerService,
+    private val sending: () -> Unit,
     private val onResult: (Result<ClientResponse, ClientFailure>) -> Unit,
 ) : ResponseListener {
     private val body = ByteArrayOutputStream()
@@ -34,6 +35,8 @@
         if (isDone) call.cancel()
     }
 
+    override fun onSending() = sending()
+
     override fun onHead(
         status: Int,
         headers: Map<String, String>,
--- a/net/src/main/kotlin/samphirechute/net/ServerRequest.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerRequest.kt
@@ -8,12 +8,20 @@
     val method: String,
     uri: String,
     val headers: HttpHeaders,
-    val body: ByteArray,
+    body: ByteArray,
 ) {
+    var body = body
+        private set
+
     private val decoder = QueryStringDecoder(uri)
     val uri: String = uri
     val path: String = decoder.path()
 
+    /** Frees the memory of the body, once it has been read. */
+    fun dropBody() {
+        body = ByteArray(0)
+    }
+
     fun header(name: String): String? = headers[name]
 
     fun query(name: String): String? = decoder.parameters()[name]?.firstOrNull()
