--- a/state/src/main/kotlin/samphirechute/state/lease/Voter.kt
+++ b/state/src/main/kotlin/samphirechute/state/lease/Voter.kt
@@ -13,6 +13,7 @@
     private var vote: LeaseHolder? = null
     private var voteUntilMs = 0L
     private var lastRound = 0L
+    private var releasedEpoch = 0L
     private var known: LeaseHolder? = null
     private var knownUntilMs = 0L
 
@@ -45,17 +46,16 @@
             }
             vote = ask.candidate
             seeEpoch(ask.candidate.epoch)
-            if (ask.isHolding && !isRepeat) know(ask.candidate, VOTE_MS)
-        } else if (ask.isHolding && clockMs < VOTE_MS) {
-            // A voter that has just started refuses its vote, but learns the holder.
-            know(ask.candidate, VOTE_MS)
         }
+        // A voter that refuses, such as one that has just started, learns the holder too.
+        if (ask.isHolding && ask.candidate.epoch > releasedEpoch) know(ask.candidate, VOTE_MS)
         return answer(ask.candidate, ask.round, isGranted, false)
     }
 
     /** Returns true when the release freed this voter or took away the holder it knew. */
     fun onRelease(released: LeaseHolder): Boolean {
         seeEpoch(released.epoch)
+        releasedEpoch = maxOf(releasedEpoch, released.epoch)
         val isVoteFreed = vote?.isReleasedBy(released) == true
         if (isVoteFreed) vote = null
         val isKnownGone = knownHolder?.isReleasedBy(released) == true
