--- a/state/src/main/kotlin/samphirechute/state/drain/Drains.kt
+++ b/state/src/main/kotlin/samphirechute/state/drain/Drains.kt
@@ -21,6 +21,7 @@
     private val attempts = mutableMapOf<OperationId, Attempt>()
     private val undrains = LinkedHashMap<OperationId, Undrain>()
     private var reported = emptySet<DrainTarget>()
+    private var forgottenVersion = 0L
 
     /** The overlay entries to tell other instances, settled ones included. */
     val entries: Collection<OverlayEntry> get() = overlay.values
@@ -91,6 +92,8 @@
         outputs: MutableList<DrainOutput>,
     ) {
         val own = overlay[entry.operationId]
+        val isForgotten = own == null && entry.settledVersion != null && entry.settledVersion <= forgottenVersion
+        if (isForgotten) return
         if (own != null && (own.settledVersion != null || entry.settledVersion == null)) return
         // The instance that was given the order commits it; the others do so only if it has not, in time.
         put(entry, nowMs + FOREIGN_COMMIT_DELAY_MS + random.nextLong(FOREIGN_COMMIT_DELAY_MS), outputs)
@@ -124,11 +127,17 @@
         outputs += DrainOutput.Spread
     }
 
+    /** Forgets by version, so that instances that learned the entries in another order keep the same ones. */
     private fun forgetOldest() {
         if (overlay.size <= MAX_ENTRIES) return
-        overlay.values
-            .firstOrNull { it.settledVersion != null && !it.isInForce }
-            ?.let { overlay -= it.operationId }
+        val oldest =
+            overlay.values.filter { it.settledVersion != null && !it.isInForce }.minByOrNull {
+                it.settledVersion
+                    ?: 0
+            }
+        if (oldest == null) return
+        overlay -= oldest.operationId
+        forgottenVersion = maxOf(forgottenVersion, oldest.settledVersion ?: 0)
     }
 
     private fun commitDue(
--- a/state/src/main/kotlin/samphirechute/state/sync/DigestTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/DigestTable.kt
@@ -1,6 +1,7 @@
 package samphirechute.state.sync
 
 import samphirechute.core.FailureDomain
+import samphirechute.core.InstanceId
 import java.util.TreeMap
 
 /** The latest digest of each failure domain, until it is no longer fresh. */
@@ -10,7 +11,7 @@
     /** Versions of the digests that are fresh. */
     val versions: Map<FailureDomain, DigestVersion> get() = entries.mapValues { it.value.digest.version }
 
-    fun version(failureDomain: FailureDomain) = entries[failureDomain]?.digest?.version
+    val coordinators: Set<InstanceId> get() = entries.values.mapTo(mutableSetOf()) { it.digest.coordinator }
 
     /** Returns true when [digest] is newer than the one known. */
     fun put(
@@ -27,11 +28,6 @@
     /** Drops what is no longer fresh; true when something was dropped. */
     fun expire(nowMs: Long): Boolean = entries.values.removeIf { nowMs - it.bornMs >= DIGEST_FRESH_MS }
 
-    fun ageMs(
-        failureDomain: FailureDomain,
-        nowMs: Long,
-    ): Long? = entries[failureDomain]?.let { nowMs - it.bornMs }
-
     fun get(failureDomain: FailureDomain): DomainDigest? = entries[failureDomain]?.digest
 
     /** The digests with their age now. */
--- a/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
@@ -1,6 +1,5 @@
 package samphirechute.state.sync
 
-import samphirechute.core.FailureDomain
 import samphirechute.core.InstanceId
 import kotlin.random.Random
 
@@ -16,25 +15,28 @@
 
     operator fun get(instance: InstanceId): PeerState? = peers[instance]
 
-    fun ofDomain(failureDomain: FailureDomain) = peers.values.filter { it.peer.failureDomain == failureDomain }
-
-    fun stores() = peers.values.filter { it.peer.isStore }
-
     /**
-     * A random one of [candidates]. Of two drawn, the one that failed less of late is taken, so silent peers cost few
-     * exchanges and are still asked often enough to notice their return.
+     * Mostly the peer that answers and was heard least recently, so that each of them is heard in turn; otherwise any
+     * one, so that the return of a silent peer is noticed.
      */
     fun choose(candidates: Collection<PeerState>): PeerState? {
         if (candidates.isEmpty()) return null
-        val first = candidates.random(random)
-        val second = candidates.random(random)
-        return if (second.failures < first.failures) second else first
+        val answering = candidates.filter { it.failures == 0 }
+        if (answering.isEmpty() || random.nextDouble() < EXPLORATION) return candidates.random(random)
+        val oldestMs = answering.minOf { it.lastExchangeMs }
+        return answering.filter { it.lastExchangeMs == oldestMs }.random(random)
     }
 
+    /** Up to [count] random ones of [candidates], those that answer first. */
     fun sample(
         candidates: Collection<PeerState>,
         count: Int,
-    ): List<PeerState> = candidates.shuffled(random).take(count)
+    ): List<PeerState> = candidates.shuffled(random).sortedBy { it.failures > 0 }.take(count)
+
+    private companion object {
+        /** How often a peer is chosen whether it answers or not. */
+        const val EXPLORATION = 0.3
+    }
 }
 
 /** One peer as seen from here. */
@@ -49,6 +51,9 @@
     var askedMs: Long? = null
     var failures = 0
 
+    /** How many more peers are asked in place of this one when it does not answer. */
+    var substitutesLeft = 0
+
     /** The number of the latest message with grants, to drop those that were overtaken or repeated. */
     var grantsHeartbeat = 0L
 
@@ -57,6 +62,8 @@
 
     fun isRecent(nowMs: Long) = nowMs - lastExchangeMs < RECENT_EXCHANGE_MS
 
+    fun noteTold(data: SyncData) = data.heartbeats.forEach { (id, it) -> toldHeartbeats.merge(id, it, ::maxOf) }
+
     fun noteFailure() {
         askedMs = null
         failures++
--- a/state/src/main/kotlin/samphirechute/state/sync/Readiness.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/Readiness.kt
@@ -11,6 +11,8 @@
     private val toAsk: Set<InstanceId>,
 ) {
     private val pending = toAsk.toMutableSet()
+    private val toRepeat = mutableSetOf<InstanceId>()
+    private val failures = mutableMapOf<InstanceId, Int>()
     private var startedMs: Long? = null
     private var nextAskMs = Long.MIN_VALUE
     private var hasAnswer = false
@@ -20,11 +22,13 @@
 
     /** Whom to ask now. */
     fun dueAsks(nowMs: Long): Set<InstanceId> {
-        if (isReady || nowMs < nextAskMs) return emptySet()
+        if (isReady) return emptySet()
+        val repeated = toRepeat.toSet().also { toRepeat.clear() }
+        if (nowMs < nextAskMs) return repeated
         if (startedMs == null) startedMs = nowMs
         nextAskMs = nowMs + RANDOM_PERIOD_MS
-        // After the first round, those that have answered are asked again only when no answer counted.
-        return if (hasAnswer) pending.toSet() else toAsk
+        // Those that have answered are asked again only when no answer counted.
+        return repeated + if (hasAnswer) emptySet() else toAsk
     }
 
     fun onAnswer(
@@ -35,8 +39,11 @@
         hasAnswer = hasAnswer || isSufficient
     }
 
+    /** A single failure may be a lost message, so a peer counts as failed only after [MAX_TRIES]. */
     fun onFailure(from: InstanceId) {
-        pending -= from
+        if (from !in pending) return
+        val count = failures.merge(from, 1, Int::plus) ?: 1
+        if (count < MAX_TRIES) toRepeat += from else pending -= from
     }
 
     /** Returns true once, when the instance becomes ready. */
@@ -46,4 +53,8 @@
         isReady = true
         return true
     }
+
+    private companion object {
+        const val MAX_TRIES = 3
+    }
 }
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
@@ -1,8 +1,8 @@
 package samphirechute.state.sync
 
 import kotlinx.serialization.json.JsonElement
-import samphirechute.core.FailureDomain
 import samphirechute.core.InstanceId
+import samphirechute.state.SteppedClock
 import samphirechute.state.command.DrainTarget
 import samphirechute.state.drain.DrainInput
 import samphirechute.state.drain.DrainOutput
@@ -22,8 +22,9 @@
     private val drains = Drains(random)
     private val state = SyncState(settings, drains)
     private val peers = PeerTable(settings, random)
+    private val exchange = SyncExchange(settings, state, peers)
     private val reports = ReportBuffer()
-    private val grants = mutableMapOf<FailureDomain, JsonElement?>()
+    private val clock = SteppedClock()
     private val readiness =
         Readiness(peers.all.filter { it.isHome || it.peer.isStore }.mapTo(mutableSetOf()) { it.instance })
     private var holder: LeaseHolder? = null
@@ -57,7 +58,9 @@
     ): List<SyncOutput> {
         val outputs = mutableListOf<SyncOutput>()
         state.members.advance(nowMs).mapTo(outputs) { SyncOutput.MemberChanged(it) }
+        clock.advance(nowMs)
         if (state.digests.expire(nowMs)) outputs += SyncOutput.DigestsChanged(state.digests.all(nowMs))
+        updateCoordinator()
         when (input) {
             SyncInput.Ticked -> onTick(nowMs, outputs)
             is SyncInput.Received -> onMessage(input.message, nowMs, outputs)
@@ -67,20 +70,25 @@
             is SyncInput.DrainEvent -> onDrains(input.input, nowMs, outputs)
             is SyncInput.CoordinatorChanged -> onCoordinator(input.holder, nowMs, outputs)
             is SyncInput.DigestChanged -> onDigest(input.payload, nowMs, outputs)
-            is SyncInput.GrantsChanged -> onGrants(input)
+            is SyncInput.GrantsChanged -> exchange.hold(input.failureDomain, input.payload)
             is SyncInput.UpstreamReported -> onReport(input, nowMs, outputs)
             SyncInput.Leaving -> onLeaving(nowMs, outputs)
         }
-        if (readiness.check(nowMs)) outputs += SyncOutput.Ready
+        if (readiness.check(clock.elapsedMs)) outputs += SyncOutput.Ready
         return outputs
     }
 
     private val PeerState.isHome: Boolean get() = peer.failureDomain == settings.failureDomain
 
-    private val coordinator: InstanceId?
-        get() = holder?.instance ?: state.digests.get(settings.failureDomain)?.coordinator
+    private val coordinator: InstanceId? get() = exchange.coordinator
 
-    private val isCoordinator: Boolean get() = holder?.instance == settings.self
+    private val isCoordinator: Boolean get() = exchange.isCoordinator
+
+    /** The lease is the better source; an instance that cannot reach the voters learns from the digest. */
+    private fun updateCoordinator() {
+        val told = state.digests.get(settings.failureDomain)?.coordinator
+        exchange.coordinator = holder?.instance ?: told.takeIf { it != settings.self }
+    }
 
     private fun onTick(
         nowMs: Long,
@@ -93,48 +101,18 @@
         }
         onDrains(DrainInput.Ticked, nowMs, outputs)
         peers.all.filter { it.isOverdue(nowMs) }.forEach { onFailed(it.instance, nowMs, outputs) }
-        readiness.dueAsks(nowMs).mapNotNull { peers[it] }.forEach { ask(it, nowMs, outputs) }
+        readiness.dueAsks(clock.elapsedMs).mapNotNull { peers[it] }.forEach { exchange.ask(it, nowMs, outputs) }
         if (nowMs >= nextPeriodMs!!) {
             nextPeriodMs = nowMs + COORDINATOR_PERIOD_MS
-            syncPeriodically(nowMs, outputs)
+            state.beat()?.let { outputs += SyncOutput.MemberChanged(it) }
+            if (isCoordinator) {
+                outputs += SyncOutput.GrantsHeld(settings.self, exchange.heldGrants(settings.failureDomain))
+            }
+            exchange.syncPeriodically(nowMs, outputs)
         }
         if (nowMs >= nextRandomMs) {
             nextRandomMs = nowMs + RANDOM_PERIOD_MS
-            peers.choose(peers.all)?.let { ask(it, nowMs, outputs) }
-        }
-    }
-
-    private fun syncPeriodically(
-        nowMs: Long,
-        outputs: MutableList<SyncOutput>,
-    ) {
-        state.beat()?.let { outputs += SyncOutput.MemberChanged(it) }
-        if (isCoordinator) {
-            outputs += SyncOutput.GrantsHeld(settings.self, grants[settings.failureDomain])
-            syncAsCoordinator(nowMs, outputs)
-        } else {
-            val target = coordinator?.let { peers[it] } ?: peers.choose(peers.all.filter { it.isHome })
-            target?.let { ask(it, nowMs, outputs) }
-        }
-        for ((domain, held) in grants) {
-            if (domain == settings.failureDomain || held == null) continue
-            val target = state.digests.get(domain)?.let { peers[it.coordinator] } ?: continue
-            if (target.askedMs != nowMs) ask(target, nowMs, outputs)
-        }
-    }
-
-    private fun syncAsCoordinator(
-        nowMs: Long,
-        outputs: MutableList<SyncOutput>,
-    ) {
-        val others = peers.all.filterNot { it.isHome }.groupBy { it.peer.failureDomain }
-        for ((domain, candidates) in others) {
-            val target = state.digests.get(domain)?.let { peers[it.coordinator] } ?: peers.choose(candidates)
-            if (target != null && !target.isRecent(nowMs)) ask(target, nowMs, outputs)
-        }
-        val stores = peers.stores()
-        if (stores.none { it.isRecent(nowMs) || it.askedMs == nowMs }) {
-            peers.choose(stores)?.let { ask(it, nowMs, outputs) }
+            exchange.syncRandomly(nowMs, outputs)
         }
     }
 
@@ -154,7 +132,7 @@
             is SyncMessage.Reply -> onReply(message, peer, nowMs, outputs)
             is SyncMessage.Push -> onPush(message, peer, nowMs, outputs)
         }
-        if (absorbed.isNews) push(peer, nowMs, outputs)
+        if (absorbed.isNews) exchange.pushNews(peer, nowMs, outputs)
     }
 
     private fun onAsk(
@@ -170,12 +148,12 @@
             outputs += SyncOutput.GrantsHeld(peer.instance, held.payload)
         }
         val data = state.lackedBy(peer, nowMs, withDigests = true)
-        noteTold(peer, data)
+        peer.noteTold(data)
         outputs += SyncOutput.Answer(SyncMessage.Reply(state.sender(), data))
         // The sender has something that this instance lacks.
         val isBehind =
             state.configuration.revision < ask.sender.revision || drains.record.version < ask.sender.drainVersion
-        if (isBehind && peer.askedMs == null) ask(peer, nowMs, outputs)
+        if (isBehind && peer.askedMs == null) exchange.ask(peer, nowMs, outputs)
     }
 
     private fun onReply(
@@ -200,7 +178,7 @@
         outputs: MutableList<SyncOutput>,
     ) {
         // The update started at a revision that is not reached here.
-        if (state.configuration.revision < push.sender.revision) ask(peer, nowMs, outputs)
+        if (state.configuration.revision < push.sender.revision) exchange.ask(peer, nowMs, outputs)
     }
 
     private fun onFailed(
@@ -217,7 +195,7 @@
             peers
                 .choose(
                     peers.all.filter { it.isHome && it != peer && it.askedMs == null },
-                )?.let { ask(it, nowMs, outputs) }
+                )?.let { exchange.ask(it, nowMs, outputs) }
         }
     }
 
@@ -229,7 +207,7 @@
         if (!state.configuration.apply(configuration)) return
         outputs += SyncOutput.ConfigurationApplied(state.configuration.current)
         state.refreshOwnRow()?.let { outputs += SyncOutput.MemberChanged(it) }
-        push(null, nowMs, outputs)
+        exchange.pushNews(null, nowMs, outputs)
     }
 
     private fun onDrains(
@@ -239,7 +217,7 @@
     ) {
         val drainOutputs = drains.handle(input, nowMs)
         drainOutputs.mapNotNullTo(outputs) { it.toSyncOutput() }
-        if (DrainOutput.Spread in drainOutputs) push(null, nowMs, outputs)
+        if (DrainOutput.Spread in drainOutputs) exchange.pushNews(null, nowMs, outputs)
     }
 
     private fun onCoordinator(
@@ -249,10 +227,11 @@
     ) {
         val isNew = newHolder != null && newHolder.epoch != holder?.epoch
         holder = newHolder
+        updateCoordinator()
         if (!isNew) return
         digestSequence = 0
         // The new coordinator learns the held grants and the upstreams at once, since it gives no grant before.
-        if (!isCoordinator) peers[newHolder.instance]?.let { ask(it, nowMs, outputs) }
+        if (!isCoordinator) peers[newHolder.instance]?.let { exchange.ask(it, nowMs, outputs) }
         val fresh = reports.fresh(nowMs)
         if (fresh.isNotEmpty()) outputs += SyncOutput.ForwardReports(newHolder.instance, fresh)
     }
@@ -268,10 +247,6 @@
         if (state.digests.put(digest, nowMs)) outputs += SyncOutput.DigestsChanged(state.digests.all(nowMs))
     }
 
-    private fun onGrants(input: SyncInput.GrantsChanged) {
-        grants[input.failureDomain] = input.payload
-    }
-
     private fun onReport(
         input: SyncInput.UpstreamReported,
         nowMs: Long,
@@ -287,50 +262,7 @@
     ) {
         state.isLeaving = true
         state.refreshOwnRow()?.let { outputs += SyncOutput.MemberChanged(it) }
-        push(null, nowMs, outputs)
-    }
-
-    private fun ask(
-        peer: PeerState,
-        nowMs: Long,
-        outputs: MutableList<SyncOutput>,
-    ) {
-        val held = heldGrantsFor(peer)
-        if (held != null) state.beat()
-        var data = state.lackedBy(peer, nowMs, withDigests = false)
-        if (isCoordinator) data = data.copy(digests = state.ownDigestFor(peer, nowMs))
-        noteTold(peer, data)
-        peer.askedMs = nowMs
-        outputs += SyncOutput.Send(peer.instance, SyncMessage.Ask(state.sender(), data, held))
-    }
-
-    private fun heldGrantsFor(peer: PeerState): HeldGrants? {
-        val domain = peer.peer.failureDomain
-        val isItsCoordinator =
-            peer.instance == (if (peer.isHome) coordinator else state.digests.get(domain)?.coordinator)
-        return if (isItsCoordinator && (peer.isHome || grants[domain] != null)) HeldGrants(grants[domain]) else null
-    }
-
-    private fun noteTold(
-        peer: PeerState,
-        data: SyncData,
-    ) = data.heartbeats.forEach { (id, it) -> peer.toldHeartbeats.merge(id, it, ::maxOf) }
-
-    /** Passes a change on to the coordinators and to a few others, but not to [source]. */
-    private fun push(
-        source: PeerState?,
-        nowMs: Long,
-        outputs: MutableList<SyncOutput>,
-    ) {
-        val coordinators = state.digests.all(nowMs).mapTo(mutableSetOf()) { it.coordinator }
-        coordinator?.let { coordinators += it }
-        val targets = peers.all.filter { it.instance in coordinators && (isCoordinator || it.isHome) }
-        val others = peers.sample(peers.all.filter { it != source }, PUSH_FAN_OUT)
-        for (peer in (targets + others).distinct() - listOfNotNull(source)) {
-            val data = state.lackedBy(peer, nowMs, withDigests = false)
-            if (peer.known == null || data == SyncData()) continue
-            outputs += SyncOutput.Send(peer.instance, SyncMessage.Push(state.sender(), data))
-        }
+        exchange.pushNews(null, nowMs, outputs)
     }
 }
 
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncTimes.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncTimes.kt
@@ -19,5 +19,14 @@
 /** Reports older than this are not forwarded to a new coordinator; upstreams announce themselves each second. */
 internal const val REPORT_FRESH_MS = 3_000L
 
-/** How many instances one instance passes a change on to, besides coordinators. */
+/** How many instances one instance passes a change on to at once, besides coordinators. */
 internal const val PUSH_FAN_OUT = 4
+
+/** For this long after a change, it is passed on to more instances that are not known to have it. */
+internal const val REPAIR_MS = 3_000L
+
+/** How many of them in each period; with [PUSH_FAN_OUT] these reach 16 instances, which is every one of today. */
+internal const val REPAIR_FAN_OUT = 2
+
+/** A random peer that does not answer is replaced by another, this often in one period. */
+internal const val SUBSTITUTES = 2
