--- a/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
@@ -25,7 +25,7 @@
     val random = Random(seed)
     val timer = VirtualTimer()
     val history = History(timer)
-    val network = SimNetwork(timer, random) { to, message -> nodes[to]?.receive(message) }
+    val network = RaftNetwork(timer, random) { to, message -> nodes[to]?.receive(message) }
     val nodes = linkedMapOf<InstanceId, SimNode>()
     private val founders = names.map(::InstanceId).toSet()
     private val callbacks = mutableMapOf<Long, (ProposalOutcome) -> Unit>()
--- a/state/src/test/kotlin/samphirechute/state/sim/SimNetwork.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimNetwork.kt
@@ -2,31 +2,17 @@
 
 import samphirechute.core.InstanceId
 import samphirechute.core.time.VirtualTimer
-import samphirechute.state.raft.RaftMessage
 import kotlin.random.Random
 
-/** Delivers messages after a random delay, and loses, repeats and delays them as told. */
-internal class SimNetwork(
+/** Delivers messages between simulated processes with loss, delay, repetition, reordering and one-way cuts. */
+class SimNetwork(
     private val timer: VirtualTimer,
     private val random: Random,
-    private val deliver: (InstanceId, RaftMessage) -> Unit,
 ) {
+    var loss = 0.0
+    var repetition = 0.0
+    var delayMs = 1L..2L
     private val cuts = mutableSetOf<Pair<InstanceId, InstanceId>>()
-    var lossPercent = 0
-    var repeatPercent = 0
-    var maxDelayMs = 3L
-
-    fun send(
-        from: InstanceId,
-        to: InstanceId,
-        message: RaftMessage,
-    ) {
-        if (from to to in cuts || random.nextInt(PERCENT) < lossPercent) return
-        val copies = if (random.nextInt(PERCENT) < repeatPercent) 2 else 1
-        repeat(copies) {
-            timer.after(1 + random.nextLong(maxDelayMs)) { if (from to to !in cuts) deliver(to, message) }
-        }
-    }
 
     fun cut(
         from: InstanceId,
@@ -35,14 +21,36 @@
         cuts += from to to
     }
 
+    fun cutBoth(
+        one: Collection<InstanceId>,
+        other: Collection<InstanceId>,
+    ) = one.forEach { a -> (other - a).forEach { b -> cuts += listOf(a to b, b to a) } }
+
+    fun healLinks(among: Collection<InstanceId>) {
+        cuts.removeAll { it.first in among && it.second in among }
+    }
+
     fun heal() {
         cuts.clear()
-        lossPercent = 0
-        repeatPercent = 0
-        maxDelayMs = 3
+        loss = 0.0
+        repetition = 0.0
+        delayMs = 1L..2L
     }
 
-    private companion object {
-        const val PERCENT = 100
+    fun isCut(
+        from: InstanceId,
+        to: InstanceId,
+    ) = (from to to) in cuts
+
+    fun send(
+        from: InstanceId,
+        to: InstanceId,
+        deliver: () -> Unit,
+    ) {
+        val copies = if (random.nextDouble() < repetition) 2 else 1
+        repeat(copies) {
+            if (random.nextDouble() < loss) return@repeat
+            timer.after(random.nextLong(delayMs.first, delayMs.last + 1)) { if (!isCut(from, to)) deliver() }
+        }
     }
 }
