--- a/cli/src/main/kotlin/samphirechute/cli/command/CheckCommand.kt
+++ b/cli/src/main/kotlin/samphirechute/cli/command/CheckCommand.kt
@@ -13,15 +13,15 @@
 
 /** Checks service files without a server. */
 internal class CheckCommand : Command() {
-    @Argument(index = 0, metaVar = "DIR", required = true, usage = "folder with service files")
-    var folder = ""
+    @Argument(index = 0, metaVar = "DIR...", required = true, usage = "folders with service files")
+    var folders: MutableList<String> = mutableListOf()
 
-    override val summary = "check the service files of a folder, offline"
-    override val examples = listOf("check examples/kavarna", "check --json examples")
+    override val summary = "check service files, offline"
+    override val examples = listOf("check examples/kavarna", "check --json examples/kavarna examples/rayhana")
 
     override fun run(context: CliContext): Result<Unit, CliError> =
         ServiceFileReader
-            .readFolder(Path.of(folder))
+            .readFolders(folders.map(Path::of))
             .mapError { CliError.WrongFiles(it) }
             .map { services ->
                 val answer = JsonObject(mapOf("services" to JsonPrimitive(services.size)))
--- a/cli/src/main/kotlin/samphirechute/cli/command/PublishCommand.kt
+++ b/cli/src/main/kotlin/samphirechute/cli/command/PublishCommand.kt
@@ -25,10 +25,10 @@
 import samphirechute.core.service.ServiceSpec
 import java.nio.file.Path
 
-/** Replaces the services in force by those of a folder. */
+/** Replaces the services in force by those of the given folders. */
 internal class PublishCommand : ServerCommand() {
-    @Argument(index = 0, metaVar = "DIR", required = true, usage = "folder with all service files")
-    var folder = ""
+    @Argument(index = 0, metaVar = "DIR...", required = true, usage = "folders with all service files")
+    var folders: MutableList<String> = mutableListOf()
 
     @Option(name = "--base", metaVar = "N", usage = "revision that the set replaces; default: the one in force")
     var base: Long? = null
@@ -39,16 +39,16 @@
     @Option(name = "--wait", usage = "wait until all live instances have the revision")
     var isWaiting = false
 
-    override val summary = "replace the services in force by those of a folder"
+    override val summary = "replace the services in force by those of the folders"
     override val examples =
         listOf(
-            "publish --server 127.0.0.1:7101,127.0.0.1:7201 --key-file operator.key --wait examples",
-            "publish --server 127.0.0.1:7101 --base 3 --operation-id change-17 examples",
+            "publish --server 127.0.0.1:7101,127.0.0.1:7201 --wait examples/kavarna examples/rayhana",
+            "publish --server 127.0.0.1:7101 --base 3 --operation-id change-17 --key-file operator.key services",
         )
 
     override fun run(context: CliContext): Result<Unit, CliError> =
         ServiceFileReader
-            .readFolder(Path.of(folder))
+            .readFolders(folders.map(Path::of))
             .mapError { CliError.WrongFiles(it) }
             .flatMap { services -> servers(context).flatMap { publish(it, services, context) } }
 
--- a/cli/src/test/kotlin/samphirechute/cli/CommandLineSpec.kt
+++ b/cli/src/test/kotlin/samphirechute/cli/CommandLineSpec.kt
@@ -31,7 +31,7 @@
                 listOf(
                     "" to "\"COMMAND\" is required",
                     "erase" to "\"erase\" is not a valid value",
-                    "check" to "\"DIR\" is required",
+                    "check" to "\"DIR...\" is required",
                     "status" to "no server given",
                     "status --server host" to "'host' is not an address",
                     "status --server 10.0.0.1:1 --timeout-ms 0" to "--timeout-ms must be above 0",
--- a/core/src/main/kotlin/samphirechute/core/service/ServiceFileReader.kt
+++ b/core/src/main/kotlin/samphirechute/core/service/ServiceFileReader.kt
@@ -6,6 +6,8 @@
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import samphirechute.core.PoolName
 import samphirechute.core.ServiceName
 import samphirechute.core.TeamName
@@ -13,6 +15,7 @@
 import samphirechute.core.toml.TomlSource
 import samphirechute.core.toml.TomlTable
 import java.io.IOException
+import java.io.UncheckedIOException
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.streams.asSequence
@@ -27,24 +30,13 @@
         text: String,
     ): Result<ServiceSpec, List<SettingsError>> = TomlSource.parse(file, text, ::readService)
 
-    /** Reads all `.toml` files of [folder] and of the folders below it, in order of their paths. */
-    fun readFolder(folder: Path): Result<List<ServiceSpec>, List<SettingsError>> {
-        val files =
-            try {
-                Files.walk(folder).use { paths ->
-                    paths
-                        .asSequence()
-                        .filter(::isServiceFile)
-                        .sorted()
-                        .toList()
-                }
-            } catch (e: IOException) {
-                return Err(listOf(folderError(folder, "the folder cannot be read (${e.javaClass.simpleName})")))
-            }
-        if (files.isEmpty()) return Err(listOf(folderError(folder, "the folder holds no .toml file")))
+    /** Reads all `.toml` files of [folders] and of the folders below them, as one set. */
+    fun readFolders(folders: List<Path>): Result<List<ServiceSpec>, List<SettingsError>> {
         val errors = mutableListOf<SettingsError>()
+        val files = mutableListOf<Path>()
+        folders.forEach { folder -> filesOf(folder).onSuccess { files += it }.onFailure { errors += it } }
         val found = LinkedHashMap<ServiceName, Pair<Path, ServiceSpec>>()
-        for (file in files) {
+        for (file in files.distinct()) {
             read(file).fold(
                 success = { spec ->
                     val first = found.putIfAbsent(spec.name, file to spec)
@@ -56,6 +48,23 @@
         return if (errors.isEmpty()) Ok(found.values.map { it.second }) else Err(errors)
     }
 
+    private fun filesOf(folder: Path): Result<List<Path>, SettingsError> =
+        try {
+            val files =
+                Files.walk(folder).use { paths ->
+                    paths
+                        .asSequence()
+                        .filter(::isServiceFile)
+                        .sorted()
+                        .toList()
+                }
+            if (files.isEmpty()) Err(folderError(folder, "the folder holds no .toml file")) else Ok(files)
+        } catch (e: IOException) {
+            Err(folderError(folder, "the folder cannot be read (${e.javaClass.simpleName})"))
+        } catch (e: UncheckedIOException) {
+            Err(folderError(folder, "a folder below it cannot be read (${e.cause?.javaClass?.simpleName})"))
+        }
+
     private fun isServiceFile(path: Path) = Files.isRegularFile(path) && path.fileName.toString().endsWith(".toml")
 
     private fun folderError(
--- a/core/src/test/kotlin/samphirechute/core/service/ServiceFileReaderSpec.kt
+++ b/core/src/test/kotlin/samphirechute/core/service/ServiceFileReaderSpec.kt
@@ -148,56 +148,43 @@
     }
 
     @Nested
-    inner class Folder {
+    inner class Folders {
         @TempDir
         lateinit var folder: Path
 
+        private fun errors(vararg folders: Path) = ServiceFileReader.readFolders(folders.toList()).getError().orEmpty()
+
+        private fun write(name: String) = folder.resolve(name).apply { writeText(base.joinToString("\n")) }
+
         /** Guards against a check that stops at the first wrong file, or misses one in a folder below. */
         @Test
         fun `all files are read and all errors listed`() {
             val below = folder.resolve("below").createDirectory()
-            folder.resolve("a.toml").writeText(base.joinToString("\n"))
+            write("a.toml")
             folder.resolve("b.toml").writeText("name = ")
             below.resolve("c.toml").writeText(base.drop(1).joinToString("\n"))
             folder.resolve("notes.txt").writeText("not a service")
-            val files =
-                ServiceFileReader
-                    .readFolder(
-                        folder,
-                    ).getError()
-                    .orEmpty()
-                    .map { Path.of(it.file).fileName.toString() }
+            val files = errors(folder, below).map { Path.of(it.file).fileName.toString() }
             assertEquals(listOf("b.toml", "c.toml"), files)
         }
 
         /** Guards against two files of which only the last one is in force. */
         @Test
         fun `a name used twice is refused with both files`() {
-            listOf("a.toml", "b.toml").forEach { folder.resolve(it).writeText(base.joinToString("\n")) }
-            val error =
-                ServiceFileReader
-                    .readFolder(folder)
-                    .getError()
-                    .orEmpty()
-                    .single()
-            assertEquals("the service 'a' is already in ${folder.resolve("a.toml")}", error.problem)
-            assertEquals(folder.resolve("b.toml").toString(), error.file)
+            val first = write("a.toml")
+            val second = write("b.toml")
+            val error = errors(folder).single()
+            assertEquals("the service 'a' is already in $first", error.problem)
+            assertEquals("$second", error.file)
         }
 
-        /** Guards against a mistyped folder that publishes an empty set. */
+        /** Guards against a mistyped folder that publishes an empty set, or the set of the other folders. */
         @Test
         fun `an empty or absent folder is refused`() {
-            for (path in listOf(folder, folder.resolve("absent"))) {
-                assertEquals(
-                    1,
-                    ServiceFileReader
-                        .readFolder(path)
-                        .getError()
-                        .orEmpty()
-                        .size,
-                    "$path",
-                )
-            }
+            val absent = folder.resolve("absent")
+            assertEquals(2, errors(folder, absent).size)
+            write("a.toml")
+            assertEquals(listOf("$absent"), errors(folder, absent).map { it.file })
         }
     }
 }
