Check the promises to callers in a matrix of faults and steps

Cause: a fault that strikes at one step, or two that strike together, can break a promise that no single test looks at. Change: RequestFaultMatrixSpec runs each of 14 faults at each of 9 steps, alone and in pairs, for three kinds of request, repeatable and not, on virtual time. Tampered outputs show that the checker finds broken promises.

--- a/routing/src/main/kotlin/samphirechute/routing/flow/ClaimHold.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/ClaimHold.kt
@@ -55,6 +55,8 @@
     private enum class Status { NONE, ASKED, HELD, ABANDONED, RECORDED }
 }
 
+private const val RETRY_AFTER_MS = 1_000L
+
 /** What the caller is told when the claim was not given to its request. */
 internal fun ClaimAnswer.toOutcome(): FlowOutcome =
     when (this) {
@@ -75,6 +77,7 @@
                 RunState.UNKNOWN,
                 FlowCode.OUTCOME_UNKNOWN,
                 "an earlier run lost its outcome; it is not repeated",
+                RETRY_AFTER_MS,
             )
         }
 
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/RequestFaultMatrixSpec.kt
@@ -0,0 +1,151 @@
+package samphirechute.routing.flow
+
+import org.junit.jupiter.api.Nested
+import samphirechute.core.RunState
+import samphirechute.routing.flow.matrix.Cell
+import samphirechute.routing.flow.matrix.Fault
+import samphirechute.routing.flow.matrix.Profile
+import samphirechute.routing.flow.matrix.Promise
+import samphirechute.routing.flow.matrix.Promises
+import samphirechute.routing.flow.matrix.Step
+import samphirechute.routing.flow.matrix.Strike
+import samphirechute.routing.flow.matrix.Tamper
+import samphirechute.routing.flow.matrix.Violation
+import samphirechute.routing.flow.matrix.World
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** Every fault at every step of a request, alone and in pairs; `docs/request-flow.md` has the legend. */
+class RequestFaultMatrixSpec {
+    private val strikes = Fault.entries.flatMap { fault -> Step.entries.map { Strike(fault, it) } }
+
+    private fun cells(strikeLists: List<List<Strike>>) =
+        Profile.entries.flatMap { profile ->
+            listOf(false, true).flatMap { isNonRepeatable -> strikeLists.map { Cell(profile, isNonRepeatable, it) } }
+        }
+
+    private fun broken(cells: List<Cell>): List<Pair<Cell, List<Violation>>> =
+        cells.map { it to Promises.check(World(it, SEED).run()) }.filter { it.second.isNotEmpty() }
+
+    private fun assertKept(cells: List<Cell>) {
+        val broken = broken(cells)
+        val byPromise = broken.flatMap { (_, found) -> found.map { it.promise } }.groupingBy { it }.eachCount()
+        val first = broken.take(SHOWN).joinToString("\n") { (cell, found) -> "$cell: $found" }
+        assertEquals(0, broken.size, "of ${cells.size} cells, seed $SEED, $byPromise:\n$first")
+    }
+
+    @Nested
+    inner class Promised {
+        /** Guards against a harness in which requests fail anyway, so that nothing would be tested. */
+        @Test
+        fun `without faults each request is answered`() {
+            for (cell in cells(listOf(emptyList()))) {
+                val trace = World(cell, SEED).run()
+                assertEquals(emptyList(), Promises.check(trace))
+                assertEquals(
+                    null,
+                    trace.submissions
+                        .first()
+                        .outcomes
+                        .single()
+                        .second.code,
+                    "$cell",
+                )
+            }
+        }
+
+        /** Guards against cells that test nothing because their fault never struck. */
+        @Test
+        fun `each fault strikes at each step`() {
+            val missed = cells(strikes.map { listOf(it) }).filter { World(it, SEED).run().struck != it.strikes }
+            assertEquals(emptyList(), missed)
+        }
+
+        /** Guards against requests that fail in time although another upstream could have answered them. */
+        @Test
+        fun `a repeatable request with time left is answered in spite of any single fault`() {
+            val singles =
+                strikes.filter { it.fault != Fault.CALLER_GONE }.map {
+                    Cell(
+                        Profile.STREAM,
+                        false,
+                        listOf(it),
+                    )
+                }
+            val failed =
+                singles.mapNotNull { cell ->
+                    val outcome =
+                        World(cell, SEED)
+                            .run()
+                            .submissions
+                            .last()
+                            .outcomes
+                            .single()
+                            .second
+                    if (outcome.code == null) null else cell.strikes to outcome
+                }
+            assertEquals(0, failed.size, failed.joinToString("\n"))
+        }
+
+        /** Guards against any single fault that breaks a promise to the caller. */
+        @Test
+        fun `hold for each fault at each step`() = assertKept(cells(strikes.map { listOf(it) }))
+
+        /** Guards against faults that break a promise only together. */
+        @Test
+        fun `hold for each pair of faults`() = assertKept(cells(strikes.flatMap { a -> strikes.map { listOf(a, it) } }))
+    }
+
+    @Nested
+    inner class Checker {
+        private val singles = cells(strikes.map { listOf(it) })
+
+        private fun found(tamper: Tamper) = singles.flatMap { Promises.check(World(it, SEED, tamper).run()) }
+
+        private fun changed(change: (FlowOutput) -> List<FlowOutput>): Tamper =
+            { _, outputs -> outputs.flatMap(change) }
+
+        private fun without(isDropped: (FlowOutput) -> Boolean) =
+            changed { if (isDropped(it)) emptyList() else listOf(it) }
+
+        private fun twice(isRepeated: (FlowOutput) -> Boolean) =
+            changed { if (isRepeated(it)) listOf(it, it) else listOf(it) }
+
+        private fun outcome(change: (FlowOutcome) -> FlowOutcome) =
+            changed { listOf(if (it is FlowOutput.Finish) FlowOutput.Finish(change(it.outcome)) else it) }
+
+        /** Guards against a checker that would pass a flow with one of these faults. */
+        @Test
+        fun `finds each planted fault`() {
+            val planted =
+                listOf(
+                    Promise.FINISHED_IN_TIME to without { it is FlowOutput.Finish },
+                    Promise.FINISHED_IN_TIME to twice { it is FlowOutput.Finish },
+                    Promise.GIVEN_UP_AT_ONCE to without { it is FlowOutput.AskGrant },
+                    Promise.GIVEN_UP_AT_ONCE to without { it is FlowOutput.AskClaim },
+                    Promise.GIVEN_UP_AT_ONCE to outcome { it.copy(retryAfterMs = null) },
+                    Promise.WHOLE_ANSWER to without { it is FlowOutput.Deliver && it.offset == 7L },
+                    Promise.WHOLE_ANSWER to twice { it is FlowOutput.Deliver },
+                    Promise.WHOLE_ANSWER to outcome { it.copy(runState = RunState.RAN) },
+                    Promise.NOTHING_LEAKED to without { it is FlowOutput.ReleaseGrant },
+                    Promise.NOTHING_LEAKED to twice { it is FlowOutput.ReleaseGrant },
+                    Promise.NOTHING_LEAKED to without { it is FlowOutput.CancelAttempt },
+                    Promise.NOT_RUN_IS_TRUE to outcome { it.copy(runState = RunState.NOT_RUN) },
+                    Promise.AT_MOST_ONCE to twice { it is FlowOutput.Dispatch },
+                    Promise.AT_MOST_ONCE to changed { listOf(it, FlowOutput.ReleaseClaim) },
+                    Promise.CLAIM_SETTLED to without { it is FlowOutput.ReleaseClaim },
+                    Promise.CLAIM_SETTLED to without { it is FlowOutput.RecordOutcome },
+                )
+            val missed =
+                planted.mapIndexedNotNull { row, (promise, tamper) ->
+                    promise.takeIf { found(tamper).none { it.promise == promise } }?.let { "row $row: $it" }
+                }
+            assertEquals(emptyList(), missed)
+        }
+    }
+
+    private companion object {
+        const val SEED = 20_261
+        const val SHOWN = 12
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/EngineRun.kt
@@ -0,0 +1,98 @@
+package samphirechute.routing.flow.matrix
+
+import samphirechute.routing.flow.AttemptFailure
+import samphirechute.routing.flow.FlowInput
+import samphirechute.routing.flow.FlowOutput
+
+/** One attempt on its way to, at, and back from an engine. */
+internal class EngineRun(
+    private val world: World,
+    private val host: FlowHost,
+    private val profile: Profile,
+    private val dispatch: FlowOutput.Dispatch,
+) {
+    val engine = world.engine(dispatch.grant.primary.upstream)
+    val connection =
+        if (dispatch.useFreshConnection) {
+            FakeConnection()
+        } else {
+            world.pooledConnection(host.submission.instance, engine.id)
+        }
+    private val key = dispatch.grant.key
+    val attempt = dispatch.attempt
+    private var isSent = false
+    private var isSettled = false
+    private var isCancelled = false
+
+    /** True when the engine may still work for an attempt that nobody waits for. */
+    val isOrphan get() = isSent && !isSettled && !isCancelled
+
+    fun start() {
+        connection.onCut = { if (isSent) fail(AttemptFailure.CLOSED) }
+        world.timer.after(NETWORK_MS) { connected() }
+    }
+
+    fun cancel() {
+        isCancelled = true
+        world.timer.after(NETWORK_MS) { if (reachesEngine()) engine.cancel(key) }
+    }
+
+    private fun connected() {
+        if (isCancelled || host.isDead) return
+        if (dispatch.useFreshConnection && !reachesEngine()) return
+        if (dispatch.useFreshConnection && engine.isDead) return fail(AttemptFailure.CONNECT_FAILED)
+        isSent = true
+        host.feed(FlowInput.BytesSent(dispatch.attempt))
+        if (connection.isCut || engine.isDead) return fail(AttemptFailure.CLOSED)
+        if (!connection.isSilent) world.timer.after(NETWORK_MS) { received() }
+    }
+
+    private fun received() {
+        if (engine.isDead || !reachesEngine()) return
+        if (engine.refuses) {
+            return answer { FlowInput.AttemptFailed(dispatch.attempt, AttemptFailure.REFUSED, answeredId()) }
+        }
+        world.trace.executions += Execution(host.submission.index, world.timer.nowMs())
+        engine.held += key
+        val prefillMs = profile.prefillMs * engine.slowdown + world.random.nextLong(JITTER_MS)
+        world.timer.after(prefillMs / 2) { world.reached(Step.PREFILL, host) }
+        // A resumed engine repeats one token, as an engine that resumes at a block of its cache does.
+        world.timer.after(prefillMs) { generate((dispatch.resumeOffset - 1).coerceAtLeast(0)) }
+    }
+
+    private fun generate(offset: Long) {
+        if (key !in engine.held || engine.isSilent) return
+        if (offset == profile.tokens.toLong()) {
+            engine.held -= key
+            return answer { FlowInput.AnswerEnded(dispatch.attempt, answeredId(), offset) }
+        }
+        answer { FlowInput.TokensArrived(dispatch.attempt, answeredId(), offset, listOf(answerToken(offset))) }
+        world.timer.after(profile.tokenMs * engine.slowdown) { generate(offset + 1) }
+    }
+
+    private fun answeredId() = if (engine.isCrossed) "other" else key.requestId.value
+
+    private fun answer(input: () -> FlowInput) {
+        val message = input()
+        world.timer.after(if (engine.isLate) LATE_MS else NETWORK_MS) {
+            val isLost = connection.isSilent || connection.isCut || engine.isSilent || engine.isDead
+            if (isLost || !reachesEngine()) return@after
+            isSettled = isSettled || isLastOf(message)
+            host.feed(message)
+        }
+    }
+
+    private fun isLastOf(message: FlowInput) =
+        (message is FlowInput.AnswerEnded && message.requestId == key.requestId.value) ||
+            message is FlowInput.AttemptFailed
+
+    private fun fail(failure: AttemptFailure) = host.feed(FlowInput.AttemptFailed(dispatch.attempt, failure))
+
+    private fun reachesEngine() = world.reaches(host.domain, engine.domain)
+
+    private companion object {
+        const val NETWORK_MS = 1L
+        const val JITTER_MS = 3L
+        const val LATE_MS = 3_000L
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/FakeCoordinator.kt
@@ -0,0 +1,88 @@
+package samphirechute.routing.flow.matrix
+
+import samphirechute.core.FailureDomain
+import samphirechute.core.UpstreamId
+import samphirechute.core.time.VirtualTimer
+import samphirechute.routing.Grant
+import samphirechute.routing.GrantKey
+
+/** Gives grants on the engines of one failure domain; a grant that is not renewed ends after the lease. */
+internal class FakeCoordinator(
+    val domain: FailureDomain,
+    private val engines: List<FakeEngine>,
+    private val profile: Profile,
+    private val timer: VirtualTimer,
+) {
+    var isDead = false
+        private set
+    private var epoch = 1L
+    private val queue = mutableSetOf<GrantKey>()
+    private val renewedMs = mutableMapOf<Grant, Long>()
+
+    val heldGrants: Set<Grant> get() = renewedMs.keys
+
+    /** Calls [reply] with a grant after a time in the queue, or with null when no engine is left. */
+    fun ask(
+        key: GrantKey,
+        excluded: Set<UpstreamId>,
+        reply: (Grant?) -> Unit,
+    ) {
+        if (isDead) return
+        queue += key
+        timer.after(QUEUE_MS) {
+            if (isDead || !queue.remove(key)) return@after
+            val engine = engines.firstOrNull { it.id !in excluded }
+            val grant = engine?.let { grant(key, it) }
+            if (grant != null) renewedMs[grant] = timer.nowMs()
+            reply(grant)
+        }
+    }
+
+    private fun grant(
+        key: GrantKey,
+        engine: FakeEngine,
+    ) = Grant(
+        key = key,
+        epoch = epoch,
+        parts = listOf(engine.part),
+        cachedTokens = if (engine.hasLostCache) CACHED_TOKENS else 0,
+        expectedFirstTokenMs = if (profile.tokens == 1) 0 else profile.prefillMs / (if (engine.hasLostCache) 10 else 1),
+        expectedTokenMs = profile.tokenMs.toDouble(),
+    )
+
+    fun withdraw(key: GrantKey) {
+        queue -= key
+    }
+
+    fun renew(grant: Grant) {
+        if (!isDead) renewedMs[grant] = timer.nowMs()
+    }
+
+    fun release(grant: Grant) {
+        if (!isDead) renewedMs -= grant
+    }
+
+    fun expire() {
+        val expired = renewedMs.filterValues { it + LEASE_MS <= timer.nowMs() }.keys
+        for (grant in expired) engines.first { it.id == grant.primary.upstream }.cancel(grant.key)
+        renewedMs -= expired
+    }
+
+    /** Dies with all it knows; a successor begins a new epoch later. */
+    fun die() {
+        isDead = true
+        queue.clear()
+        renewedMs.clear()
+        timer.after(SUCCESSION_MS) {
+            isDead = false
+            epoch++
+        }
+    }
+
+    private companion object {
+        const val QUEUE_MS = 20L
+        const val LEASE_MS = 2_000L
+        const val SUCCESSION_MS = 3_500L
+        const val CACHED_TOKENS = 90L
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/Fault.kt
@@ -0,0 +1,57 @@
+package samphirechute.routing.flow.matrix
+
+/** What goes wrong in a cell of the fault matrix. Faults of an engine hit the one that serves the request, or would. */
+internal enum class Fault {
+    ENGINE_DIES,
+    ENGINE_COLD,
+    ENGINE_SILENT,
+    ENGINE_LATE,
+    ENGINE_CROSSED,
+    ENGINE_REFUSES,
+    STALE_LOAD,
+    CACHE_LOST,
+    INSTANCE_DIES,
+    CONNECTION_CUT,
+    CONNECTION_SILENT,
+    COORDINATOR_DIES,
+    DOMAIN_CUT,
+    CALLER_GONE,
+}
+
+/** The step of the request at which a fault strikes. */
+internal enum class Step {
+    ACCEPTED,
+    QUEUED,
+    GRANT_TAKEN,
+    DISPATCHED,
+    PREFILL,
+    FIRST_TOKEN,
+    MID_STREAM,
+    LAST_TOKEN,
+    ACKNOWLEDGED,
+}
+
+internal data class Strike(
+    val fault: Fault,
+    val step: Step,
+) {
+    override fun toString() = "$fault at $step"
+}
+
+/** The kind of request of a cell. */
+internal enum class Profile(
+    val tokens: Int,
+    val prefillMs: Long,
+    val tokenMs: Long,
+    val deadlineMs: Long,
+) {
+    STREAM(tokens = 20, prefillMs = 100, tokenMs = 5, deadlineMs = 12_000),
+    URGENT_STREAM(tokens = 20, prefillMs = 100, tokenMs = 5, deadlineMs = 1_400),
+    PLAIN(tokens = 1, prefillMs = 30, tokenMs = 0, deadlineMs = 6_000),
+}
+
+internal data class Cell(
+    val profile: Profile,
+    val isNonRepeatable: Boolean,
+    val strikes: List<Strike>,
+)
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/Promises.kt
@@ -0,0 +1,100 @@
+package samphirechute.routing.flow.matrix
+
+import samphirechute.core.RunState
+import samphirechute.routing.flow.FlowOutcome
+
+internal enum class Promise {
+    FINISHED_IN_TIME,
+    GIVEN_UP_AT_ONCE,
+    WHOLE_ANSWER,
+    NOTHING_LEAKED,
+    NOT_RUN_IS_TRUE,
+    AT_MOST_ONCE,
+    CLAIM_SETTLED,
+}
+
+internal data class Violation(
+    val promise: Promise,
+    val detail: String,
+)
+
+/** Checks what a caller and an operator are promised against what happened in a cell. */
+internal object Promises {
+    fun check(trace: Trace): List<Violation> =
+        trace.submissions.flatMap { inTime(it) + atOnce(it) + whole(it, trace) + released(it) + notRun(it, trace) } +
+            trace.heldAtEnd.map { Violation(Promise.NOTHING_LEAKED, "still held at the end: $it") } +
+            atMostOnce(trace) + claimSettled(trace)
+
+    private fun inTime(sent: Submission): List<Violation> {
+        if (sent.diedMs != null) return emptyList()
+        val times = sent.outcomes.map { it.first }
+        val isKept = times.size == 1 && times.single() <= sent.deadlineMs
+        return violation(!isKept, Promise.FINISHED_IN_TIME) { "outcomes at $times, deadline ${sent.deadlineMs}" }
+    }
+
+    private fun atOnce(sent: Submission): List<Violation> {
+        val hasNoHint = sent.outcomes.any { (_, outcome) -> outcome.isFailure() && outcome.retryAfterMs == null }
+        return violation(sent.idleMs != null, Promise.GIVEN_UP_AT_ONCE) { "nothing under way at ${sent.idleMs}" } +
+            violation(hasNoHint, Promise.GIVEN_UP_AT_ONCE) { "no retry hint: ${sent.outcomes}" }
+    }
+
+    private fun FlowOutcome.isFailure() = runState != RunState.RAN
+
+    private fun whole(
+        sent: Submission,
+        trace: Trace,
+    ): List<Violation> {
+        val isWholeExpected = sent.outcomes.any { (_, outcome) -> !outcome.isFailure() && outcome.stored == null }
+        val expected = (0L until trace.cell.profile.tokens).map { it to answerToken(it) }
+        val isKept = if (isWholeExpected) sent.delivered == expected else isPrefix(sent.delivered, expected)
+        return violation(!isKept, Promise.WHOLE_ANSWER) { "${sent.outcomes} after ${sent.delivered}" }
+    }
+
+    private fun <T> isPrefix(
+        part: List<T>,
+        whole: List<T>,
+    ) = part.size <= whole.size && part == whole.subList(0, part.size)
+
+    private fun released(sent: Submission): List<Violation> {
+        val wrong = sent.releases.filterValues { if (sent.diedMs == null) it != 1 else it > 1 }
+        val orphans = sent.runs.filter { sent.diedMs == null && it.isOrphan }.map { it.attempt }
+        return violation(wrong.isNotEmpty(), Promise.NOTHING_LEAKED) { "releases ${wrong.values}" } +
+            violation(orphans.isNotEmpty(), Promise.NOTHING_LEAKED) { "attempts $orphans not cancelled" }
+    }
+
+    /** A claim also proves that no earlier submission ran; without one, the outcome speaks of its own only. */
+    private fun notRun(
+        sent: Submission,
+        trace: Trace,
+    ): List<Violation> {
+        val (atMs, _) = sent.outcomes.firstOrNull { it.second.runState == RunState.NOT_RUN } ?: return emptyList()
+        val own = trace.executions.filter { it.submission == sent.index }
+        val earlier = trace.executions.filter { sent.hasClaim && it.atMs <= atMs }
+        return violation((own + earlier).isNotEmpty(), Promise.NOT_RUN_IS_TRUE) { "not run, but ${own + earlier}" }
+    }
+
+    private fun atMostOnce(trace: Trace) =
+        violation(trace.cell.isNonRepeatable && trace.executions.size > 1, Promise.AT_MOST_ONCE) {
+            "ran as ${trace.executions}"
+        }
+
+    private fun claimSettled(trace: Trace): List<Violation> {
+        val isOpen = trace.claimAtEnd == ClaimStatus.RUNNING && trace.submissions.all { it.diedMs == null }
+        val lost = trace.submissions.filter { it.isAnsweredAndRecordable() }
+        val isLost = lost.isNotEmpty() && trace.claimAtEnd != ClaimStatus.FINISHED
+        return violation(isOpen, Promise.CLAIM_SETTLED) { "still running" } +
+            violation(isLost, Promise.CLAIM_SETTLED) { "answered, but the claim is ${trace.claimAtEnd}" }
+    }
+
+    private fun Submission.isAnsweredAndRecordable() =
+        hasClaim && diedMs == null && outcomes.any { it.second.runState == RunState.RAN }
+
+    private fun violation(
+        isBroken: Boolean,
+        promise: Promise,
+        detail: () -> String,
+    ) = if (isBroken) listOf(Violation(promise, detail())) else emptyList()
+}
+
+/** The token at [offset] of the only right answer. */
+internal fun answerToken(offset: Long) = "t$offset"
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/World.kt
@@ -0,0 +1,182 @@
+package samphirechute.routing.flow.matrix
+
+import samphirechute.core.FailureDomain
+import samphirechute.core.InstanceId
+import samphirechute.core.UpstreamId
+import samphirechute.core.time.VirtualTimer
+import samphirechute.routing.flow.FlowInput
+import samphirechute.routing.flow.FlowOutput
+import kotlin.random.Random
+
+/** Changes the outputs of a flow, to plant a fault that the checker must find. */
+internal typealias Tamper = (FlowInput, List<FlowOutput>) -> List<FlowOutput>
+
+/**
+ * Two failure domains on virtual time. The first instance is in domain A; the two engines that are asked first and
+ * the store are in domain B, the third engine is in A. A caller whose instance dies sends its request again, and the
+ * caller of a non-repeatable request sends it once more after each outcome.
+ */
+internal class World(
+    private val cell: Cell,
+    seed: Int,
+    private val tamper: Tamper = { _, outputs -> outputs },
+) {
+    val timer = VirtualTimer()
+    val random = Random(seed)
+    val trace = Trace(cell)
+    val store = FakeClaimStore()
+    val engines = listOf(FakeEngine(E1, B), FakeEngine(E2, B), FakeEngine(E3, A))
+    val coordinators =
+        listOf(B, A).map { d ->
+            FakeCoordinator(d, engines.filter { it.domain == d }, cell.profile, timer)
+        }
+    private val hosts = mutableListOf<FlowHost>()
+    private val pending = cell.strikes.toMutableList()
+    private val pooled = mutableMapOf<Pair<InstanceId, UpstreamId>, FakeConnection>()
+    private var isCut = false
+
+    fun run(): Trace {
+        timer.every(EXPIRY_MS) { coordinators.forEach { it.expire() } }
+        submit()
+        while (hosts.any { !it.isOver } && timer.nowMs() < LONGEST_RUN_MS) timer.advanceBy(STEP_MS)
+        timer.advanceBy(SETTLE_MS)
+        for (engine in engines) if (!engine.isSilent) engine.held.mapTo(trace.heldAtEnd) { "${engine.id} $it" }
+        for (coordinator in coordinators) coordinator.heldGrants.mapTo(trace.heldAtEnd) { "ledger $it" }
+        trace.claimAtEnd = store.status
+        return trace
+    }
+
+    fun engine(id: UpstreamId) = engines.first { it.id == id }
+
+    fun reaches(
+        from: FailureDomain,
+        to: FailureDomain,
+    ) = !isCut || from == to
+
+    fun pooledConnection(
+        instance: InstanceId,
+        engine: UpstreamId,
+    ) = pooled.getOrPut(instance to engine) { FakeConnection() }
+
+    /** Lets the faults strike that wait for [step]. */
+    fun reached(
+        step: Step,
+        host: FlowHost,
+    ) {
+        while (pending.firstOrNull()?.step == step) {
+            trace.struck += pending.first()
+            strike(pending.removeFirst().fault, host)
+        }
+    }
+
+    /** The caller got an outcome; it may send a non-repeatable request again. */
+    fun outcomeReached(host: FlowHost) {
+        if (cell.isNonRepeatable && !host.submission.callerGone) timer.after(RESEND_MS) { submit() }
+    }
+
+    private fun submit() {
+        if (hosts.size == MOST_SUBMISSIONS) return
+        val (instance, domain) = INSTANCES[hosts.size]
+        val nowMs = timer.nowMs()
+        val submission = Submission(hosts.size, instance, nowMs, nowMs + cell.profile.deadlineMs)
+        trace.submissions += submission
+        val host = FlowHost(this, cell, submission, domain, tamper)
+        hosts += host
+        host.start()
+    }
+
+    private fun strike(
+        fault: Fault,
+        host: FlowHost,
+    ) {
+        val engine = host.run?.engine ?: engines.first()
+        val connection = host.run?.connection ?: pooledConnection(host.submission.instance, engine.id)
+        when (fault) {
+            Fault.ENGINE_DIES -> {
+                engine.die()
+                timer.after(1) {
+                    hosts.forEach {
+                        it.run
+                            ?.takeIf { run -> run.engine == engine }
+                            ?.connection
+                            ?.onCut()
+                    }
+                }
+            }
+
+            Fault.ENGINE_COLD -> {
+                engine.isCold = true
+            }
+
+            Fault.ENGINE_SILENT -> {
+                engine.isSilent = true
+            }
+
+            Fault.ENGINE_LATE -> {
+                engine.isLate = true
+            }
+
+            Fault.ENGINE_CROSSED -> {
+                engine.isCrossed = true
+            }
+
+            Fault.ENGINE_REFUSES -> {
+                engine.refuses = true
+            }
+
+            Fault.STALE_LOAD -> {
+                engine.hasStaleLoad = true
+            }
+
+            Fault.CACHE_LOST -> {
+                engine.hasLostCache = true
+            }
+
+            Fault.INSTANCE_DIES -> {
+                host.die()
+                timer.after(RESTART_MS) { store.restarted(host.claimant) }
+                if (!host.submission.callerGone) timer.after(RESEND_MS) { submit() }
+            }
+
+            Fault.CONNECTION_CUT -> {
+                connection.isCut = true
+                timer.after(1) { connection.onCut() }
+            }
+
+            Fault.CONNECTION_SILENT -> {
+                connection.isSilent = true
+            }
+
+            Fault.COORDINATOR_DIES -> {
+                coordinators.first { it.domain == engine.domain }.die()
+            }
+
+            Fault.DOMAIN_CUT -> {
+                isCut = true
+                timer.after(HEAL_MS) { isCut = false }
+            }
+
+            Fault.CALLER_GONE -> {
+                host.submission.callerGone = true
+                timer.after(0) { host.feed(FlowInput.CallerGone) }
+            }
+        }
+    }
+
+    companion object {
+        val A = FailureDomain("a")
+        val B = FailureDomain("b")
+        private val E1 = UpstreamId("e1")
+        private val E2 = UpstreamId("e2")
+        private val E3 = UpstreamId("e3")
+        private val INSTANCES = listOf(InstanceId("i1") to A, InstanceId("i2") to B, InstanceId("i3") to A)
+        private const val MOST_SUBMISSIONS = 3
+        private const val EXPIRY_MS = 250L
+        private const val RESEND_MS = 50L
+        private const val RESTART_MS = 1_000L
+        private const val HEAL_MS = 5_000L
+        private const val STEP_MS = 500L
+        private const val SETTLE_MS = 8_000L
+        private const val LONGEST_RUN_MS = 60_000L
+    }
+}
