Add the benches of the request path and the mix bench

The limits of concurrency and prefill of a cold engine now grow apart, since an engine with little to do never proved its concurrency and so never came to take a long prompt.

--- /dev/null
+++ b/bench/src/main/kotlin/samphirechute/bench/Main.kt
@@ -0,0 +1,57 @@
+package samphirechute.bench
+
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.CmdLineException
+import org.kohsuke.args4j.CmdLineParser
+import org.kohsuke.args4j.Option
+import samphirechute.bench.routing.ColdBench
+import samphirechute.bench.routing.DecideBench
+import samphirechute.bench.routing.DomainBench
+import samphirechute.bench.routing.FairBench
+import samphirechute.bench.routing.MemoryBench
+import samphirechute.bench.routing.MixBench
+import samphirechute.bench.routing.OverloadBench
+import kotlin.system.exitProcess
+
+/** The benches by name, one line each. */
+private val BENCHES: Map<String, () -> Bench> =
+    mapOf(
+        "cold" to ::ColdBench,
+        "decide" to ::DecideBench,
+        "domain" to ::DomainBench,
+        "fair" to ::FairBench,
+        "memory" to ::MemoryBench,
+        "mix" to ::MixBench,
+        "overload" to ::OverloadBench,
+    )
+
+private class BenchArguments {
+    @Argument(metaVar = "NAME", required = true, usage = "the bench to run")
+    var name = ""
+
+    @Option(name = "--seed", metaVar = "N", usage = "seed of all random choices (default 1)")
+    var seed = 1L
+}
+
+fun main(args: Array<String>) {
+    val arguments = BenchArguments()
+    val parser = CmdLineParser(arguments)
+    try {
+        parser.parseArgument(*args)
+    } catch (e: CmdLineException) {
+        fail(parser, e.message.orEmpty())
+    }
+    val bench = BENCHES[arguments.name] ?: fail(parser, "unknown bench \"${arguments.name}\"")
+    println("# bin/bench ${arguments.name} --seed ${arguments.seed}")
+    bench().run(arguments.seed, Figures())
+}
+
+private fun fail(
+    parser: CmdLineParser,
+    message: String,
+): Nothing {
+    System.err.println(message)
+    System.err.println("usage: bin/bench NAME [--seed N]; names: ${BENCHES.keys.joinToString()}")
+    parser.printUsage(System.err)
+    exitProcess(2)
+}
--- a/routing/src/main/kotlin/samphirechute/routing/Grant.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/Grant.kt
@@ -11,6 +11,8 @@
     val cachedTokens: Long = 0,
     val expectedFirstTokenMs: Long = 0,
     val expectedTokenMs: Double = 0.0,
+    /** The place among the work of its upstream: lower numbers go first. Long prompts go after all short ones. */
+    val priority: Int = 0,
 ) {
     /** The upstream that answers; the other parts of a gang lend it memory. */
     val primary: GrantPart get() = parts.first()
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/ColdLimit.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/ColdLimit.kt
@@ -21,6 +21,7 @@
     val isCold: Boolean get() = concurrency < capacity.maxConcurrency || prefillTokens < Long.MAX_VALUE
 
     private var proved = 0
+    private var provedPrefills = 0
     private var slowInARow = 0
     private var samples = 0
     private var baseline = 1.0
@@ -36,6 +37,7 @@
         concurrency = capacity.coldConcurrency.coerceIn(1, maxOf(1, capacity.maxConcurrency))
         prefillTokens = capacity.coldPrefillTokens
         proved = 0
+        provedPrefills = 0
         slowInARow = 0
         samples = 0
         baseline = 1.0
@@ -75,21 +77,22 @@
         if (!isCold) return false
         if (relative > EXPECTED_RATIO) {
             proved = 0
-        } else if (running * 2 >= concurrency) {
-            // A request beside an almost idle upstream proves nothing about a higher load.
-            proved++
-            if (proved >= concurrency) grow()
+            provedPrefills = 0
+            return false
+        }
+        // A request beside an almost idle upstream proves nothing about a higher concurrency, but its prefill does
+        // show the rate, so that an upstream with little to do still comes to take long prompts.
+        if (running * 2 >= concurrency && ++proved >= concurrency) {
+            proved = 0
+            concurrency = (concurrency * 2).coerceAtMost(maxOf(1, capacity.maxConcurrency))
+        }
+        if (++provedPrefills >= PREFILL_SAMPLES) {
+            provedPrefills = 0
+            prefillTokens = if (prefillTokens >= capacity.memoryTokens) Long.MAX_VALUE else prefillTokens * 2
         }
         return false
     }
 
-    private fun grow() {
-        proved = 0
-        concurrency = (concurrency * 2).coerceAtMost(maxOf(1, capacity.maxConcurrency))
-        val isFull = concurrency >= capacity.maxConcurrency
-        prefillTokens = if (isFull) Long.MAX_VALUE else prefillTokens * 2
-    }
-
     /**
      * A latency that stays level for many requests is that of this upstream, whatever was announced; otherwise an
      * upstream that announces too high a rate would stay cold for ever. While it warms up the two averages differ.
@@ -110,6 +113,7 @@
         const val EXPECTED_RATIO = 1.25
         const val SLOW_RATIO = 2.5
         const val SLOW_SAMPLES = 4
+        const val PREFILL_SAMPLES = 4
         const val FAST_WEIGHT = 0.3
         const val SLOW_WEIGHT = 0.05
         const val LEVEL_SAMPLES = 48
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/GrantLeases.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/GrantLeases.kt
@@ -1,6 +1,7 @@
 package samphirechute.routing.ledger
 
 import samphirechute.core.UpstreamId
+import samphirechute.core.service.Urgency
 import samphirechute.routing.Grant
 import samphirechute.routing.GrantEnding
 import samphirechute.routing.GrantKey
@@ -26,7 +27,9 @@
         val upstream = choice.upstream
         val memory = if (upstream.isEngine) waiting.memoryTokens else 0L
         val part = part(upstream, memory, choice.prefillTokens)
-        val grant = grantOf(waiting.key, epoch, listOf(part), upstream, choice.cachedTokens, choice.firstTokenMs)
+        val grant =
+            grantOf(waiting.key, epoch, listOf(part), upstream, choice.cachedTokens, choice.firstTokenMs)
+                .copy(priority = priorityOf(waiting, choice.isLong))
         enter(GrantRecord(grant, pool, waiting.request.prefixes, nowMs), choice.isLong, nowMs)
         return grant
     }
@@ -46,7 +49,10 @@
             }
         val primary = gang.engines.first()
         val firstTokenMs = primary.allWaitMs(nowMs) + primary.firstTokenMs(gang.waiting.request.promptTokens)
-        val grant = grantOf(gang.waiting.key, epoch, parts.filter { it.memoryTokens > 0 }, primary, 0, firstTokenMs)
+        val used = parts.filter { it.memoryTokens > 0 }
+        val grant =
+            grantOf(gang.waiting.key, epoch, used, primary, 0, firstTokenMs)
+                .copy(priority = priorityOf(gang.waiting, isLong = true))
         enter(GrantRecord(grant, pool, gang.waiting.request.prefixes, nowMs), isLong = true, nowMs)
         return grant
     }
@@ -169,6 +175,11 @@
         prefillTokens: Long,
     ) = GrantPart(upstream.id, upstream.report.generation, upstream.report.address, memoryTokens, prefillTokens)
 
+    private fun priorityOf(
+        waiting: Waiting,
+        isLong: Boolean,
+    ) = waiting.request.urgency.ordinal + if (isLong) Urgency.entries.size else 0
+
     private fun grantOf(
         key: GrantKey,
         epoch: Long,
