Accept documents, and keep the log on disk

Cause: an accepted long document was lost with its instance, and the store kept its log in memory.

The store's members now write their log through the disk thread, which posts back to the loop. A request to a service of mode document is answered 202 once its prompt is on two disks in different failure domains and its record is committed; the store leader assigns it to an instance of its own failure domain, and assigns it again when the lease of its runner runs out.

Seen over real sockets: restart of all three instances keeps configuration and orders; one of three dies and the others go on; without a quorum orders are refused as not run while questions are answered; a drained failure domain takes nothing new; a planned stop cuts nothing off. A document whose runner is killed was finished elsewhere, but only after 40 s, to be looked into.

--- a/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
@@ -15,6 +15,14 @@
 import samphirechute.daemon.controller.StoreClient
 import samphirechute.daemon.controller.StoreController
 import samphirechute.daemon.controller.SyncController
+import samphirechute.daemon.document.BlobApi
+import samphirechute.daemon.document.BlobClient
+import samphirechute.daemon.document.BlobStore
+import samphirechute.daemon.document.DocumentFinder
+import samphirechute.daemon.document.DocumentIntake
+import samphirechute.daemon.document.DocumentLeader
+import samphirechute.daemon.document.DocumentRunners
+import samphirechute.daemon.document.FindReply
 import samphirechute.daemon.http.DaemonApi
 import samphirechute.daemon.metrics.RequestMetrics
 import samphirechute.daemon.operator.OperatorApi
@@ -52,13 +60,20 @@
     private val lifecycle = Lifecycle(settings, sync)
     private val parts =
         RequestParts(runtime, grants, ClaimController(runtime, storeClient), RequestMetrics(registry))
-    private val callers = CallerApi(parts, lifecycle::refusalReason, sync::service)
+    private val blobStore = settings.store?.let { BlobStore(it.dataFolder.resolve(BLOB_FOLDER), loop::post) }
+    private val blobClient = BlobClient(runtime, blobStore)
+    private val finder = DocumentFinder(runtime, peerClient, store)
+    private val intake = DocumentIntake(runtime, storeClient, blobClient, finder)
+    private val callers = CallerApi(parts, lifecycle::refusalReason, sync::service, intake)
+    private val documents =
+        DocumentRunners(runtime, storeClient, blobClient, sync::service, callers::runDocument)
+    private val documentLeader = store?.let { DocumentLeader(runtime, peerClient, it, sync, documents) }
     private val operators =
         OperatorApi(runtime, storeClient, drains, Views(runtime, lifecycle, sync, coordinator, store))
     private val peerApi = PeerApi()
-    private val api = DaemonApi(settings, lifecycle, callers, operators, peerApi, sync, registry)
+    private val api = DaemonApi(settings, lifecycle, callers, operators, peerApi, BlobApi(blobStore), sync, registry)
     private val server = HttpServer(loop, serverLimits(), api::handle)
-    private val stopper = Stopper(runtime, lifecycle, callers, ::leave, exit)
+    private val stopper = Stopper(runtime, lifecycle, callers, documents, ::leave, exit)
 
     /** Listens and takes part in the system; returns the bound address. */
     fun start(): HostPort {
@@ -71,6 +86,9 @@
             sync.start()
             grants.start()
             digests.start()
+            documents.start()
+            documentLeader?.start()
+            blobStore?.let(::cleanBlobs)
         }
         JvmMetrics.builder().register(registry)
         return address
@@ -82,6 +100,7 @@
     override fun close() {
         server.close()
         store?.close()
+        blobStore?.close()
     }
 
     private fun join() {
@@ -99,6 +118,8 @@
         sync.onUndrainSettled = drains::undrainSettled
         store?.onConfiguration = { sync.feed(SyncInput.ConfigurationCommitted(it)) }
         store?.onDrainRecord = { sync.feed(SyncInput.DrainEvent(it)) }
+        store?.onApplied = { documentLeader?.applied(it) }
+        store?.onLeadership = { term -> documentLeader?.leadershipChanged(term != null) }
         store?.onCurrencyChanged = { sync.feed(SyncInput.StoreCurrencyChanged(it)) }
     }
 
@@ -119,6 +140,13 @@
         peerApi.on(PeerRoutes.lease) { envelope, exchange ->
             exchange.answer(LeaseReply(coordinator.received(envelope)))
         }
+        peerApi.on(PeerRoutes.runDocument) { message, exchange ->
+            documents.assigned(message)
+            exchange.answer(Unit)
+        }
+        peerApi.on(PeerRoutes.findDocument) { message, exchange ->
+            exchange.answer(FindReply(store?.state?.documents?.get(message.id)))
+        }
         store?.serve(peerApi)
     }
 
@@ -140,6 +168,18 @@
         coordinator.eligibilityChanged(false)
     }
 
+    private fun cleanBlobs(blobs: BlobStore) {
+        runtime.timer.every(BLOB_CLEANING_MS) {
+            val records =
+                store
+                    ?.state
+                    ?.documents
+                    ?.values
+                    .orEmpty()
+            blobs.clean(records.flatMap { listOfNotNull(it.bodyDigest, it.answerDigest) }.toSet(), BLOB_KEEP_MS)
+        }
+    }
+
     private fun serverLimits() =
         ServerLimits(
             maxHeadBytes = settings.limits.maxHeadBytes,
@@ -147,4 +187,12 @@
             maxBufferedBytes = settings.limits.maxBufferedBytes,
             maxConnections = settings.limits.maxConnections,
         )
+
+    private companion object {
+        const val BLOB_FOLDER = "blobs"
+        const val BLOB_CLEANING_MS = 3_600_000L
+
+        /** Longer than any document is known, since this member's state may lag behind the log. */
+        const val BLOB_KEEP_MS = 72 * 3_600_000L
+    }
 }
--- a/daemon/src/main/kotlin/samphirechute/daemon/Stopper.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Stopper.kt
@@ -1,6 +1,7 @@
 package samphirechute.daemon
 
 import samphirechute.daemon.caller.CallerApi
+import samphirechute.daemon.document.DocumentRunners
 
 /**
  * A planned stop: the instance is not ready at once, takes requests until the balancer has noticed, finishes those it
@@ -11,6 +12,7 @@
     private val runtime: Runtime,
     private val lifecycle: Lifecycle,
     private val callers: CallerApi,
+    private val documents: DocumentRunners,
     private val onLeaving: () -> Unit,
     private val exit: (Int) -> Unit,
 ) {
--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/CallerApi.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/CallerApi.kt
@@ -2,14 +2,19 @@
 
 import com.github.michaelbull.result.fold
 import samphirechute.core.ServiceName
+import samphirechute.core.api.ApiPaths
+import samphirechute.core.service.ServiceMode
 import samphirechute.core.service.ServiceSpec
 import samphirechute.core.service.ServiceTarget
 import samphirechute.core.service.Urgency
+import samphirechute.daemon.document.DocumentIntake
+import samphirechute.daemon.document.DocumentRun
 import samphirechute.daemon.http.refuse
 import samphirechute.daemon.upstream.ApplicationProtocol
 import samphirechute.daemon.upstream.EngineProtocol
 import samphirechute.daemon.upstream.UpstreamProtocol
 import samphirechute.net.Exchange
+import samphirechute.routing.flow.FlowOutcome
 import samphirechute.state.command.ClaimKey
 import java.security.MessageDigest
 import java.util.HexFormat
@@ -19,6 +24,7 @@
     private val parts: RequestParts,
     notReadyReason: () -> String?,
     serviceInForce: (ServiceName) -> ServiceSpec?,
+    private val documents: DocumentIntake,
 ) {
     private val filters =
         FilterChain(
@@ -37,8 +43,11 @@
     val runningRequests: Int get() = running.size
 
     fun handle(exchange: Exchange) {
+        val path = exchange.request.path
+        val isFetch = exchange.request.method == "GET" && path.startsWith(ApiPaths.DOCUMENTS_PREFIX)
+        if (isFetch) return documents.fetch(exchange, path.removePrefix(ApiPaths.DOCUMENTS_PREFIX))
         filters.apply(RequestDraft(exchange.request)).fold(
-            { run(exchange, it) },
+            { admit(exchange, it) },
             { error ->
                 parts.metrics.refused(error.code)
                 exchange.refuse(error)
@@ -46,6 +55,25 @@
         )
     }
 
+    /** Runs the request of a document for the instance that was assigned it. */
+    fun runDocument(
+        draft: RequestDraft,
+        writer: AnswerWriter,
+        onFinished: (FlowOutcome) -> Unit,
+    ): DocumentRun {
+        val runner = RequestRunner(parts, draft, protocol(draft), writer, claim = null, onFinished = onFinished)
+        runner.start()
+        return DocumentRun(runner::callerGone)
+    }
+
+    private fun admit(
+        exchange: Exchange,
+        draft: RequestDraft,
+    ) {
+        val isDocument = draft.service.mode == ServiceMode.DOCUMENT && draft.form is AnswerForm.Completion
+        if (isDocument) documents.accept(exchange, draft) else run(exchange, draft)
+    }
+
     private fun run(
         exchange: Exchange,
         draft: RequestDraft,
--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/RequestRunner.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/RequestRunner.kt
@@ -51,6 +51,7 @@
         feed(FlowInput.Started)
     }
 
+    /** Ends the request as if its caller had gone. */
     fun callerGone() {
         if (isFinished) return
         runtime.ring.record("caller_gone", requestId)
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreController.kt
@@ -12,15 +12,19 @@
 import samphirechute.daemon.peer.PeerRoutes
 import samphirechute.state.command.Command
 import samphirechute.state.command.StoreMember
+import samphirechute.state.disk.DiskThread
+import samphirechute.state.disk.NioFolder
+import samphirechute.state.disk.StoreDisk
 import samphirechute.state.drain.DrainInput
 import samphirechute.state.drain.DrainRecord
+import samphirechute.state.raft.AppliedEntry
 import samphirechute.state.raft.ProposalOutcome
 import samphirechute.state.raft.RaftInput
 import samphirechute.state.raft.RaftNode
 import samphirechute.state.raft.RaftOutput
-import samphirechute.state.raft.RestoredLog
 import samphirechute.state.store.StoreState
 import samphirechute.state.sync.Configuration
+import java.util.UUID
 import kotlin.random.Random
 
 /** Keeps this instance's member of the replicated log: its messages, its disk, and what its state tells others. */
@@ -31,8 +35,13 @@
 ) : AutoCloseable {
     private val stores: Map<InstanceId, PeerSettings> =
         (runtime.settings.peers + runtime.settings.self).filter { it.isStore }.associateBy { it.instance }
+    private val disk =
+        StoreDisk.open(
+            NioFolder(settings.dataFolder.resolve(LOG_FOLDER)),
+        ) { UUID.randomUUID().toString() }
+    private val diskThread = DiskThread(disk) { input -> runtime.loop.post { feed(input) } }
     private val node: RaftNode =
-        RaftNode(member(), stores.keys, RestoredLog(), Random(runtime.incarnation), runtime.nowMs)
+        RaftNode(member(), stores.keys, disk.restored, Random(runtime.incarnation), runtime.nowMs)
     private val answers = HashMap<Long, (CommandReply) -> Unit>()
     private var lastToken = 0L
     private var told = StoreState()
@@ -41,10 +50,20 @@
     var onConfiguration: (Configuration) -> Unit = {}
     var onDrainRecord: (DrainInput) -> Unit = {}
     var onCurrencyChanged: (Boolean) -> Unit = {}
+    var onApplied: (AppliedEntry) -> Unit = {}
+
+    /** Called with the term when this member becomes leader, and with null when it is one no longer. */
+    var onLeadership: (Long?) -> Unit = {}
 
     val state: StoreState get() = node.state
     val isLeader: Boolean get() = node.isLeader
 
+    /** Disks that answer for a member without being in the membership, for the operator to add. */
+    val unknownDisks: Map<InstanceId, String> get() = node.unknownDisks
+
+    /** The time until which no other member can lead. */
+    fun leaseUntilMs() = node.leaseUntilMs()
+
     fun start() {
         runtime.timer.every(TICK_MS) { feed(RaftInput.Tick(System.currentTimeMillis())) }
         tell()
@@ -70,7 +89,7 @@
 
     fun view() = StoreView(node.leader?.instance, node.term)
 
-    override fun close() = Unit
+    override fun close() = diskThread.close()
 
     private fun feed(input: RaftInput) {
         node.handle(input, runtime.nowMs).forEach(::execute)
@@ -80,16 +99,30 @@
     private fun execute(output: RaftOutput) {
         when (output) {
             is RaftOutput.Send -> send(output)
-            is RaftOutput.Write -> runtime.loop.post { feed(RaftInput.DiskDone(output.write.sequence)) }
-            is RaftOutput.Apply -> tell()
+            is RaftOutput.Write -> diskThread.submit(output.write)
+            is RaftOutput.Apply -> applied(output.entries)
             is RaftOutput.Installed -> tell()
             is RaftOutput.Answer -> answers.remove(output.token)?.invoke(reply(output.outcome))
-            is RaftOutput.LeadershipGained -> runtime.ring.record("store_leader_elected", null, "term" to output.term)
-            is RaftOutput.LeadershipLost -> runtime.ring.record("store_leader_lost", null, "term" to output.term)
+            is RaftOutput.LeadershipGained -> leadershipChanged("store_leader_elected", output.term, output.term)
+            is RaftOutput.LeadershipLost -> leadershipChanged("store_leader_lost", output.term, null)
             is RaftOutput.Stopped -> runtime.ring.record("store_stopped", null, "reason" to output.reason)
         }
     }
 
+    private fun applied(entries: List<AppliedEntry>) {
+        tell()
+        entries.forEach(onApplied)
+    }
+
+    private fun leadershipChanged(
+        event: String,
+        term: Long,
+        leading: Long?,
+    ) {
+        runtime.ring.record(event, null, "term" to term)
+        onLeadership(leading)
+    }
+
     private fun send(output: RaftOutput.Send) {
         val address = stores[output.to]?.address ?: return
         peerClient.call(address, PeerRoutes.raft, output.message, SEND_TIMEOUT_MS) { }
@@ -125,10 +158,11 @@
             runtime.self,
             runtime.settings.failureDomain,
             runtime.settings.listen,
-            "memory-${runtime.incarnation}",
+            disk.diskId,
         )
 
     private companion object {
+        const val LOG_FOLDER = "log"
         const val TICK_MS = 20L
         const val SEND_TIMEOUT_MS = 1_000L
     }
--- a/daemon/src/main/kotlin/samphirechute/daemon/http/DaemonApi.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/http/DaemonApi.kt
@@ -9,6 +9,8 @@
 import samphirechute.daemon.Lifecycle
 import samphirechute.daemon.caller.CallerApi
 import samphirechute.daemon.controller.SyncController
+import samphirechute.daemon.document.BlobApi
+import samphirechute.daemon.document.BlobClient
 import samphirechute.daemon.operator.OperatorApi
 import samphirechute.daemon.peer.PeerApi
 import samphirechute.daemon.upstream.AnnouncementReader
@@ -22,6 +24,7 @@
     private val callers: CallerApi,
     private val operators: OperatorApi,
     private val peers: PeerApi,
+    private val blobs: BlobApi,
     private val sync: SyncController,
     private val registry: PrometheusRegistry,
 ) {
@@ -33,6 +36,7 @@
     fun handle(exchange: Exchange) {
         val path = exchange.request.path
         when {
+            path.startsWith(BlobClient.PATH) -> guarded(exchange, peerKey) { blobs.handle(exchange) }
             path.startsWith("/peer/") -> guarded(exchange, peerKey) { peers.handle(exchange) }
             path.startsWith("/operator/") -> guarded(exchange, operatorKey) { operators.handle(exchange) }
             path == ANNOUNCE -> guarded(exchange, upstreamKey) { announced(exchange) }
--- a/daemon/src/main/kotlin/samphirechute/daemon/http/RequestError.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/http/RequestError.kt
@@ -56,6 +56,20 @@
         val reason: String,
     ) : RequestError(503, "not_ready", "this instance takes no requests: $reason", retryAfterMs = NOT_READY_RETRY_MS)
 
+    data class UnknownDocument(
+        val id: String,
+    ) : RequestError(404, "unknown_document", "no document '$id' is known; answers are kept for 24 h")
+
+    data class DocumentRejected(
+        val reason: String,
+        val problem: String,
+    ) : RequestError(422, reason, problem)
+
+    data class DocumentFailed(
+        val id: String,
+        val reason: String,
+    ) : RequestError(502, reason, "document '$id' ended without an answer", RunState.UNKNOWN)
+
     data class Unavailable(
         val problem: String,
     ) : RequestError(503, "unavailable", problem, retryAfterMs = NOT_READY_RETRY_MS)
--- a/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerRoute.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerRoute.kt
@@ -6,6 +6,9 @@
 import kotlinx.serialization.json.JsonElement
 import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
+import samphirechute.daemon.document.FindMessage
+import samphirechute.daemon.document.FindReply
+import samphirechute.daemon.document.RunMessage
 import samphirechute.routing.Grant
 import samphirechute.routing.GrantKey
 import samphirechute.routing.GrantRequest
@@ -32,6 +35,8 @@
     val sync = PeerRoute("/peer/v1/sync", SyncMessage.serializer(), SyncReply.serializer())
     val lease = PeerRoute("/peer/v1/lease", LeaseEnvelope.serializer(), LeaseReply.serializer())
     val commands = PeerRoute("/peer/v1/commands", Command.serializer(), CommandReply.serializer())
+    val runDocument = PeerRoute("/peer/v1/documents/run", RunMessage.serializer(), Unit.serializer())
+    val findDocument = PeerRoute("/peer/v1/documents/find", FindMessage.serializer(), FindReply.serializer())
     val raft = PeerRoute("/peer/v1/raft", RaftMessage.serializer(), Unit.serializer())
 }
 
--- a/daemon/src/test/kotlin/samphirechute/daemon/ClusterFixture.kt
+++ b/daemon/src/test/kotlin/samphirechute/daemon/ClusterFixture.kt
@@ -159,17 +159,18 @@
         return post(index, ApiPaths.COMPLETIONS, body, *headers)
     }
 
-    /** Waits until [condition] holds, up to the deadline of the fixture. */
+    /** Waits until [condition] holds, up to [deadlineMs]. */
     fun await(
         what: String,
+        deadlineMs: Long = DEADLINE_MS,
         condition: () -> Boolean,
     ) {
-        val untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DEADLINE_MS)
+        val untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs)
         while (System.nanoTime() < untilNs) {
             if (runCatching(condition).getOrDefault(false)) return
             CompletableFuture<Unit>().completeOnTimeout(Unit, POLL_MS, TimeUnit.MILLISECONDS).join()
         }
-        fail("not within $DEADLINE_MS ms: $what")
+        fail("not within $deadlineMs ms: $what")
     }
 
     fun awaitReady() =
