--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -87,21 +87,21 @@
         current.noteContact(reply.echoMs, reply.wallMs, member.nowMs)
         val transfer = current.transfer?.takeIf { it.state.index == reply.lastIndex } ?: return
         when {
-            reply.nextPart == transfer.partNumber + 1 && transfer.isLast -> {
+            // The receiver has restarted and lost the parts that it had.
+            reply.nextPart < transfer.partNumber -> {
+                startTransfer(current)
+            }
+
+            // The receiver may be ahead when an old reply has made the transfer start anew.
+            transfer.skipTo(reply.nextPart) -> {
                 current.transfer = null
                 current.nextIndex = transfer.state.index + 1
                 sendEntries(current)
             }
 
-            reply.nextPart == transfer.partNumber + 1 -> {
-                transfer.advance()
+            transfer.sentPart != transfer.partNumber -> {
                 sendPart(current, transfer)
             }
-
-            // The receiver has restarted and lost the parts that it had.
-            reply.nextPart < transfer.partNumber -> {
-                startTransfer(current)
-            }
         }
     }
 
@@ -220,6 +220,7 @@
         transfer: SnapshotTransfer,
     ) {
         transfer.sentMs = member.nowMs
+        transfer.sentPart = transfer.partNumber
         val state = transfer.state
         member.send(
             to.identity.instance,
--- a/state/src/main/kotlin/samphirechute/state/raft/Progress.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Progress.kt
@@ -36,10 +36,16 @@
     var partNumber = 0
         private set
     var sentMs = 0L
+    var sentPart = -1
     val isLast get() = !parts.hasNext()
 
-    fun advance() {
-        part = parts.next()
-        partNumber++
+    /** Moves on to part [number]; true when there is no such part, so that all have been received. */
+    fun skipTo(number: Int): Boolean {
+        while (partNumber < number) {
+            if (isLast) return true
+            part = parts.next()
+            partNumber++
+        }
+        return false
     }
 }
--- a/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
@@ -69,8 +69,7 @@
     fun heal() {
         network.heal()
         nodes.values.forEach { node ->
-            node.isDiskBroken = false
-            node.isDiskHung = false
+            node.repairDisk()
             node.wallSkewMs = 0
             if (node.raft == null || node.stopped != null) node.restart()
         }
@@ -92,6 +91,15 @@
             rafts.all { it.commitIndex == it.lastIndex }
     }
 
+    /** True when every member runs on the disk that the leader knows, so that one disk may be lost. */
+    val isWhole: Boolean get() {
+        val members = leader?.raft?.members?.map { it.diskId } ?: return false
+        return nodes.values.all {
+            it.raft != null && it.stopped == null && it.diskId in members &&
+                it.raft?.isVoter == true
+        }
+    }
+
     fun describe() =
         nodes.values.joinToString { node ->
             val raft = node.raft
@@ -109,6 +117,10 @@
         var wallSkewMs = 0L
         var isDiskBroken = false
         var isDiskHung = false
+
+        /** Power is lost once the member has stopped after a failed write. */
+        var isKilledOnStop = false
+        val folder get() = (disk as? FileDisk)?.folder
         private var life = 0
         private val writing = ArrayDeque<RaftOutput.Write>()
         val member get() =
@@ -140,6 +152,14 @@
             start()
         }
 
+        fun repairDisk() {
+            isDiskBroken = false
+            isDiskHung = false
+            isKilledOnStop = false
+            folder?.failing = null
+            folder?.freeBytes = Long.MAX_VALUE
+        }
+
         fun receive(message: RaftMessage) = handle(RaftInput.Received(message))
 
         fun handle(input: RaftInput) {
@@ -157,7 +177,7 @@
                 is RaftOutput.Send -> network.send(instance, output.to, output.message)
                 is RaftOutput.Write -> write(output)
                 is RaftOutput.Answer -> answer(output)
-                is RaftOutput.Stopped -> stopped = output.reason
+                is RaftOutput.Stopped -> stop(output.reason)
                 is RaftOutput.LeadershipGained -> history.led(instance, output.term)
                 is RaftOutput.Apply -> output.entries.forEach { history.applied(instance, life, it) }
                 is RaftOutput.Installed -> history.installed(instance, life, output.state)
@@ -165,6 +185,11 @@
             }
         }
 
+        private fun stop(reason: String) {
+            stopped = reason
+            if (isKilledOnStop) kill()
+        }
+
         private fun answer(output: RaftOutput.Answer) {
             history.answered(output.outcome)
             callbacks.remove(output.token)?.invoke(output.outcome)
