--- a/state/src/main/kotlin/samphirechute/state/sync/MemberTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/MemberTable.kt
@@ -22,8 +22,6 @@
 
     val rows: Map<InstanceId, MemberRow> get() = entries.mapValues { it.value.row }
 
-    val heartbeats: Map<InstanceId, Long> get() = entries.mapValues { it.value.row.heartbeat }
-
     val members: List<Member> get() = entries.map { (id, entry) -> entry.member(id) }
 
     /** Advances time and returns the members whose health changed. */
--- a/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
@@ -57,12 +57,20 @@
     /** The number of the latest message with grants, to drop those that were overtaken or repeated. */
     var grantsHeartbeat = 0L
 
-    /** The heartbeats that this peer knows, as far as is known here. */
-    val toldHeartbeats = mutableMapOf<InstanceId, Long>()
+    /** The rows whose heartbeat this peer knows, as far as is known here. */
+    private val told = mutableMapOf<InstanceId, MemberRow>()
 
     fun isRecent(nowMs: Long) = nowMs - lastExchangeMs < RECENT_EXCHANGE_MS
 
-    fun noteTold(data: SyncData) = data.heartbeats.forEach { (id, it) -> toldHeartbeats.merge(id, it, ::maxOf) }
+    fun noteTold(rows: Map<InstanceId, MemberRow>) {
+        for ((id, row) in rows) if (isNewTo(id, row)) told[id] = row
+    }
+
+    /** An earlier incarnation may have had a higher heartbeat. */
+    fun isNewTo(
+        id: InstanceId,
+        row: MemberRow,
+    ) = told[id]?.let { row.incarnation > it.incarnation || row.heartbeat > it.heartbeat } != false
 
     fun noteFailure() {
         askedMs = null
@@ -75,7 +83,7 @@
         if (latest != null && compareValuesBy(sender, latest, { it.incarnation }, { it.heartbeat }) < 0) return false
         if (latest == null || sender.incarnation > latest.incarnation) {
             grantsHeartbeat = 0
-            toldHeartbeats.clear()
+            told.clear()
         }
         known = sender
         return true
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncExchange.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncExchange.kt
@@ -82,9 +82,10 @@
         if (held != null) state.beat()
         var data = state.lackedBy(peer, nowMs, withDigests = false)
         if (isCoordinator) data = data.copy(digests = state.ownDigestFor(peer, nowMs))
-        peer.noteTold(data)
         peer.askedMs = nowMs
-        outputs += SyncOutput.Send(peer.instance, SyncMessage.Ask(state.sender(), data, held))
+        val message = SyncMessage.Ask(state.sender(), data, held)
+        peer.noteTold(state.rowsOf(message))
+        outputs += SyncOutput.Send(peer.instance, message)
     }
 
     /** Passes a change on to the coordinators and to a few others, but not to [source]. */
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
@@ -123,8 +123,8 @@
     ) {
         val peer = peers[message.sender.instance] ?: return
         peer.note(message.sender)
-        message.data.heartbeats.forEach { (id, it) -> peer.toldHeartbeats.merge(id, it, ::maxOf) }
         val absorbed = state.absorb(message, peer.isHome, nowMs)
+        peer.noteTold(state.rowsOf(message))
         outputs += absorbed.outputs
         state.refreshOwnRow()?.let { outputs += SyncOutput.MemberChanged(it) }
         when (message) {
@@ -148,8 +148,9 @@
             outputs += SyncOutput.GrantsHeld(peer.instance, held.payload)
         }
         val data = state.lackedBy(peer, nowMs, withDigests = true)
-        peer.noteTold(data)
-        outputs += SyncOutput.Answer(SyncMessage.Reply(state.sender(), data))
+        val reply = SyncMessage.Reply(state.sender(), data)
+        peer.noteTold(state.rowsOf(reply))
+        outputs += SyncOutput.Answer(reply)
         // The sender has something that this instance lacks.
         val isBehind =
             state.configuration.revision < ask.sender.revision || drains.record.version < ask.sender.drainVersion
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncState.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncState.kt
@@ -1,5 +1,6 @@
 package samphirechute.state.sync
 
+import samphirechute.core.InstanceId
 import samphirechute.state.drain.DrainInput
 import samphirechute.state.drain.DrainOutput
 import samphirechute.state.drain.Drains
@@ -104,10 +105,19 @@
         return changed.filterNotNull()
     }
 
+    /** The rows whose heartbeats [message] tells; its heartbeats only mean something to a table with an equal hash. */
+    fun rowsOf(message: SyncMessage): Map<InstanceId, MemberRow> {
+        if (message.sender.memberHash != members.hash) return emptyMap()
+        val rows = members.rows
+        return message.data.heartbeats
+            .filterKeys { it in rows }
+            .mapValues { (id, it) -> rows.getValue(id).copy(heartbeat = it) }
+    }
+
     private fun newHeartbeats(peer: PeerState) =
-        members.heartbeats.filter { (id, heartbeat) ->
-            id != settings.self && id != peer.instance && heartbeat > (peer.toldHeartbeats[id] ?: 0)
-        }
+        members.rows
+            .filter { (id, row) -> id != settings.self && id != peer.instance && peer.isNewTo(id, row) }
+            .mapValues { it.value.heartbeat }
 }
 
 internal class Absorbed(
--- a/state/src/test/kotlin/samphirechute/state/sim/SimProcess.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimProcess.kt
@@ -9,7 +9,8 @@
     private val clockBaseMs: Long = 0,
 ) {
     private var jumpMs = 0L
-    private var isPaused = false
+    var isPaused = false
+        private set
     private val waiting = ArrayDeque<() -> Unit>()
 
     var isUp = true
