Show all failure domains in samphirectl

One instance knows the members and upstreams of its own failure domain only, so in the demo `instances`, `upstreams` and `timeline` showed a third of the cluster. The API now has the instance state "unknown" for instances of the settings that the answering one has not seen, and the daemon lists them. `Fleet` asks one instance of each other failure domain, and the coordinators for upstreams and services; parts that did not answer are named.

--- a/cli/src/main/kotlin/samphirechute/cli/command/PublishCommand.kt
+++ b/cli/src/main/kotlin/samphirechute/cli/command/PublishCommand.kt
@@ -4,7 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
-import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
 import org.kohsuke.args4j.Argument
@@ -16,7 +16,6 @@
 import samphirechute.core.api.ApiJson
 import samphirechute.core.api.ApiPaths
 import samphirechute.core.api.InstanceState
-import samphirechute.core.api.InstancesView
 import samphirechute.core.api.PublishOutcome
 import samphirechute.core.api.PublishReply
 import samphirechute.core.api.PublishRequest
@@ -36,7 +35,7 @@
     @Option(name = "--operation-id", metaVar = "ID", usage = "identifies the change when it is sent again")
     var operationId: String? = null
 
-    @Option(name = "--wait", usage = "wait until all live instances have the revision")
+    @Option(name = "--wait", usage = "wait until all instances that are not dead have the revision")
     var isWaiting = false
 
     override val summary = "replace the services in force by those of the folders"
@@ -65,7 +64,7 @@
                 .mapError { withResendHint(it, base, operation) }
                 .flatMap { decode<PublishReply>(it) }
                 .flatMap { judge(it, base, operation) }
-                .flatMap { reply -> if (isWaiting) awaitInForce(servers, reply, context) else Ok(reply) }
+                .flatMap { reply -> if (isWaiting) awaitInForce(reply, context) else Ok(reply) }
                 .map {
                     context.out.println(
                         if (isJson) ApiJson.encodeToString(it) else "revision ${it.revision} accepted",
@@ -112,17 +111,16 @@
         }
 
     private fun awaitInForce(
-        servers: Servers,
         reply: PublishReply,
         context: CliContext,
     ): Result<PublishReply, CliError> {
         val deadlineMs = context.clock.nowMs() + timeoutMs
         var shown = ""
         while (true) {
-            val live = liveRevisions(servers)
-            val done = live.count { it >= reply.revision }
-            if (live.isNotEmpty() && done == live.size) return Ok(reply)
-            val progress = "revision ${reply.revision} is in force at $done of ${live.size} live instances"
+            val revisions = revisions(context)
+            val done = revisions.count { it >= reply.revision }
+            if (revisions.isNotEmpty() && done == revisions.size) return Ok(reply)
+            val progress = "revision ${reply.revision} is in force at $done of ${revisions.size} instances"
             if (progress != shown) note(context, progress)
             shown = progress
             if (context.clock.nowMs() >= deadlineMs) return Err(CliError.Failed("accepted, but $progress"))
@@ -130,11 +128,12 @@
         }
     }
 
-    private fun liveRevisions(servers: Servers): List<Long> =
-        servers.get(ApiPaths.INSTANCES).flatMap { decode<InstancesView>(it) }.fold(
-            success = { view -> view.instances.filter { it.state == InstanceState.ALIVE }.map { it.revision } },
-            failure = { emptyList() },
-        )
+    /** An instance that is known to be dead learns the revision when it starts again. */
+    private fun revisions(context: CliContext): List<Long> =
+        fleet(context)
+            .flatMap { it.instances() }
+            .map { all -> all.filter { it.state != InstanceState.DEAD }.map { it.revision } }
+            .getOrElse { emptyList() }
 
     private fun note(
         context: CliContext,
--- a/cli/src/main/kotlin/samphirechute/cli/command/ServerCommand.kt
+++ b/cli/src/main/kotlin/samphirechute/cli/command/ServerCommand.kt
@@ -8,6 +8,7 @@
 import org.kohsuke.args4j.Option
 import samphirechute.cli.CliContext
 import samphirechute.cli.CliError
+import samphirechute.cli.http.Fleet
 import samphirechute.cli.http.Servers
 import samphirechute.core.HostPort
 import samphirechute.core.api.ApiJson
@@ -34,10 +35,23 @@
     protected fun servers(context: CliContext): Result<Servers, CliError> =
         addresses(context).flatMap { servers(context, it) }
 
-    protected fun servers(
+    protected fun fleet(context: CliContext): Result<Fleet, CliError> =
+        addresses(context).flatMap { addresses ->
+            key(context).map { key ->
+                Fleet(serversWith(key, addresses, context)) { serversWith(key, listOf(it), context) }
+            }
+        }
+
+    private fun serversWith(
+        key: String?,
+        addresses: List<HostPort>,
+        context: CliContext,
+    ) = Servers(addresses, key, timeoutMs, context, isQuiet = isJson)
+
+    private fun servers(
         context: CliContext,
         addresses: List<HostPort>,
-    ): Result<Servers, CliError> = key(context).map { Servers(addresses, it, timeoutMs, context, isQuiet = isJson) }
+    ): Result<Servers, CliError> = key(context).map { serversWith(it, addresses, context) }
 
     protected fun addresses(context: CliContext): Result<List<HostPort>, CliError> {
         val texts = servers.ifEmpty { listOfNotNull(context.environment(SERVER_VARIABLE)) }.flatMap { it.split(',') }
--- a/cli/src/main/kotlin/samphirechute/cli/command/TimelineCommand.kt
+++ b/cli/src/main/kotlin/samphirechute/cli/command/TimelineCommand.kt
@@ -7,12 +7,12 @@
 import org.kohsuke.args4j.Option
 import samphirechute.cli.CliContext
 import samphirechute.cli.CliError
+import samphirechute.cli.http.Fleet
 import samphirechute.cli.output.MergedTimeline
 import samphirechute.core.api.ApiJson
 import samphirechute.core.api.ApiPaths
 import samphirechute.core.api.InstanceState
 import samphirechute.core.api.InstanceView
-import samphirechute.core.api.InstancesView
 import samphirechute.core.api.TimelineView
 import java.net.URLEncoder
 
@@ -29,33 +29,24 @@
 
     override fun run(context: CliContext): Result<Unit, CliError> {
         if (limit < 0) return usage("--limit must not be below 0")
-        return servers(context)
-            .flatMap { it.get(ApiPaths.INSTANCES) }
-            .flatMap { decode<InstancesView>(it) }
-            .map { view -> print(collect(view.instances, context), context) }
+        return fleet(context).flatMap { fleet -> fleet.instances().map { print(collect(it, fleet), context) } }
     }
 
     private fun collect(
         instances: List<InstanceView>,
-        context: CliContext,
+        fleet: Fleet,
     ): MergedTimeline {
-        val answers = instances.filter { it.state != InstanceState.DEAD }.associate { it.id to ask(it, context) }
+        val query = request?.let { "?${ApiPaths.REQUEST_PARAMETER}=" + URLEncoder.encode(it, Charsets.UTF_8) }.orEmpty()
+        val answers =
+            instances.filter { it.state != InstanceState.DEAD }.associate { instance ->
+                val body = fleet.ask(instance.address, ApiPaths.TIMELINE + query)
+                instance.id to body?.let { decode<TimelineView>(it).get() }
+            }
         val missing = answers.filterValues { it == null }.keys.toList()
         val merged = MergedTimeline.merge(answers.values.filterNotNull(), missing)
         return merged.copy(events = merged.events.takeLast(limit))
     }
 
-    private fun ask(
-        instance: InstanceView,
-        context: CliContext,
-    ): TimelineView? {
-        val query = request?.let { "?${ApiPaths.REQUEST_PARAMETER}=" + URLEncoder.encode(it, Charsets.UTF_8) }.orEmpty()
-        return servers(context, listOf(instance.address))
-            .flatMap { it.get(ApiPaths.TIMELINE + query) }
-            .flatMap { decode<TimelineView>(it) }
-            .get()
-    }
-
     private fun print(
         timeline: MergedTimeline,
         context: CliContext,
--- a/cli/src/main/kotlin/samphirechute/cli/command/UpstreamsCommand.kt
+++ b/cli/src/main/kotlin/samphirechute/cli/command/UpstreamsCommand.kt
@@ -1,22 +1,27 @@
 package samphirechute.cli.command
 
-import com.github.michaelbull.result.map
 import samphirechute.cli.output.Table
+import samphirechute.core.api.ApiJson
 import samphirechute.core.api.ApiPaths
 import samphirechute.core.api.UpstreamsView
 
-/** Lists the upstreams with load and limits. */
-internal class UpstreamsCommand : ViewCommand() {
+/** Lists the upstreams of all failure domains with load and limits. */
+internal class UpstreamsCommand : CoordinatorViewCommand<UpstreamsView>() {
     override val summary = "list the upstreams with state, load and limits"
     override val examples = listOf("upstreams --server 127.0.0.1:7101", "upstreams --json")
     override val path = ApiPaths.UPSTREAMS
 
-    override fun render(body: String) = decode<UpstreamsView>(body).map(::text)
+    override fun read(body: String) = decode<UpstreamsView>(body)
 
-    private fun text(view: UpstreamsView): String {
+    override fun merge(views: List<UpstreamsView>) =
+        UpstreamsView(views.flatMap { it.upstreams }.sortedWith(compareBy({ it.failureDomain }, { it.id })))
+
+    override fun json(view: UpstreamsView) = ApiJson.encodeToString(view)
+
+    override fun text(view: UpstreamsView): String {
         val table =
             Table("UPSTREAM", "DOMAIN", "ADDRESS", "POOLS", "GENERATION", "STATE", "RUNNING", "PREFILL", "MEMORY")
-        view.upstreams.sortedWith(compareBy({ it.failureDomain }, { it.id })).forEach {
+        view.upstreams.forEach {
             table.row(
                 it.id,
                 it.failureDomain,
@@ -32,9 +37,9 @@
         return table.toString()
     }
 
-    /** An application announces no memory; its limit is then the largest number. */
+    /** An application announces no memory; its limit is then the largest number. A limit of 0 was not given. */
     private fun ofLimit(
         used: Long,
         limit: Long,
-    ) = if (limit == Long.MAX_VALUE) "$used/-" else "$used/$limit"
+    ) = if (limit == Long.MAX_VALUE || limit == 0L) "$used/-" else "$used/$limit"
 }
--- a/cli/src/test/kotlin/samphirechute/cli/ChangeSpec.kt
+++ b/cli/src/test/kotlin/samphirechute/cli/ChangeSpec.kt
@@ -96,9 +96,9 @@
             }
         }
 
-        /** Guards against a publish that is reported as in force while a live instance still has the old set. */
+        /** Guards against a publish that is reported as in force while an instance still has the old set. */
         @Test
-        fun `waiting ends when all live instances have the revision`() {
+        fun `waiting ends when all instances that are not dead have the revision`() {
             writeService()
 
             fun instances(second: Int) =
@@ -112,7 +112,7 @@
                 val cli = CliFixture(FakeGateway().on(publishAt, accepted))
                 cli.gateway.on("10.0.0.1:1${ApiPaths.INSTANCES}", listOf(instances(4), instances(last)))
                 assertEquals(expected, publish(cli, "--base", "4", "--wait"), cli.err)
-                assertTrue("in force at 1 of 2 live instances" in cli.err, cli.err)
+                assertTrue("in force at 1 of 2 instances" in cli.err, cli.err)
             }
         }
     }
--- a/cli/src/test/kotlin/samphirechute/cli/TimelineSpec.kt
+++ b/cli/src/test/kotlin/samphirechute/cli/TimelineSpec.kt
@@ -48,12 +48,21 @@
         /** Guards against a time line that silently lacks the events of an instance, or asks only one. */
         @Test
         fun `all instances are asked and those that do not answer are named`() {
-            val list = listOf(instance("i", 1, "alive"), instance("j", 2, "suspected"), instance("k", 3, "dead"))
+            val list =
+                listOf(
+                    instance("i", 1, "alive"),
+                    instance("j", 2, "suspected"),
+                    instance("k", 3, "dead"),
+                    instance("l", 4, "unknown"),
+                )
             val gateway = FakeGateway().on("h:1/operator/v1/instances", FakeGateway.ok("""{"instances":$list}"""))
             gateway.on("h:1/operator/v1/timeline?request=r+1", view("i"))
+            gateway.on("h:4/operator/v1/instances", FakeGateway.ok("""{"instances":[${instance("l", 4, "alive")}]}"""))
+            gateway.on("h:4/operator/v1/timeline?request=r+1", view("l"))
             val cli = CliFixture(gateway)
             assertEquals(ExitCode.OK, cli.run("timeline", "--server", "h:1", "--request", "r 1"))
-            assertEquals("1970-01-01T00:00:01Z  i  granted request_id=r 1 upstream=u\n", cli.out)
+            val lines = listOf("i", "l").map { "1970-01-01T00:00:01Z  $it  granted request_id=r 1 upstream=u" }
+            assertEquals(lines, cli.out.trim().lines())
             assertEquals("instance j did not answer; its events are missing\n", cli.err)
         }
     }
--- a/core/src/main/kotlin/samphirechute/core/api/InstancesView.kt
+++ b/core/src/main/kotlin/samphirechute/core/api/InstancesView.kt
@@ -6,7 +6,10 @@
 import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
 
-/** The instances that one instance knows, itself included. */
+/**
+ * The instances in the settings of one instance, itself included. Those of other failure domains are
+ * [InstanceState.UNKNOWN], since a failure domain tells others only a digest of itself.
+ */
 @Serializable
 data class InstancesView(
     val instances: List<InstanceView>,
@@ -33,4 +36,8 @@
 
     @SerialName("dead")
     DEAD,
+
+    /** Listed in the settings, but not seen by the instance that answers; its revision is 0. */
+    @SerialName("unknown")
+    UNKNOWN,
 }
--- a/core/src/main/kotlin/samphirechute/core/api/UpstreamsView.kt
+++ b/core/src/main/kotlin/samphirechute/core/api/UpstreamsView.kt
@@ -7,7 +7,7 @@
 import samphirechute.core.PoolName
 import samphirechute.core.UpstreamId
 
-/** The upstreams that one instance knows. */
+/** The upstreams that one instance knows: those of its failure domain, complete at the coordinator only. */
 @Serializable
 data class UpstreamsView(
     val upstreams: List<UpstreamView>,
--- a/daemon/src/main/kotlin/samphirechute/daemon/operator/Views.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/operator/Views.kt
@@ -67,31 +67,20 @@
 
     fun instances(): InstancesView {
         val members = sync.members.associateBy { it.instance }
-        val known =
-            (settings.peers + settings.self).distinctBy { it.instance }.sortedBy { it.instance }.map { peer ->
-                val member = members[peer.instance]
-                val state =
-                    when {
-                        peer.instance == settings.instance -> InstanceState.ALIVE
-                        member == null -> null
-                        else -> state(member.health)
-                    }
-                peer to (member to state)
-            }
+        val known = (settings.peers + settings.self).distinctBy { it.instance }.sortedBy { it.instance }
         return InstancesView(
-            known.mapNotNull { (peer, found) ->
-                val (member, state) = found
-                state?.let {
-                    InstanceView(
-                        peer.instance,
-                        peer.failureDomain,
-                        peer.address,
-                        it,
-                        member?.revision ?: sync.configuration.revision,
-                        member?.incarnation ?: runtime.incarnation,
-                        peer.isStore,
-                    )
-                }
+            known.map { peer ->
+                val isSelf = peer.instance == settings.instance
+                val member = members[peer.instance]
+                InstanceView(
+                    peer.instance,
+                    peer.failureDomain,
+                    peer.address,
+                    if (isSelf) InstanceState.ALIVE else member?.let { state(it.health) } ?: InstanceState.UNKNOWN,
+                    if (isSelf) sync.configuration.revision else member?.revision ?: 0,
+                    if (isSelf) runtime.incarnation else member?.incarnation ?: 0,
+                    peer.isStore,
+                )
             },
         )
     }
