Give the stand-ins batching, memory, cold starts and faults

Cause: the daemon has to be tested against engines that run out of memory, fall over when cold, lose cache events and answer wrongly. Change: EngineModel simulates an engine on a timer without sockets; the stand-in engine adds the paths for KV memory and orders, and both stand-ins switch faults by /control/fault. A refusal names its request, in core.engine.EngineRefusal, so that a refusal on a crossed connection is not taken for that of another request.

--- a/testkit/src/main/kotlin/samphirechute/testkit/Main.kt
+++ b/testkit/src/main/kotlin/samphirechute/testkit/Main.kt
@@ -24,9 +24,14 @@
     val key = options.keyFile?.let { Path.of(it).readText().trim() }
     val address =
         when (options.kind) {
-            "engine" -> StandInEngine(options, loop, client, key).start()
-            else -> StandInApplication(options, loop, client, key).start()
+            "engine" -> StandInEngine(options, loop, client, key, ::exitAsDead).start()
+            else -> StandInApplication(options, loop, client, key, ::exitAsDead).start()
         }
     println("listening on $address")
     Thread.currentThread().join()
 }
+
+/** Ends the process at once, without the orderly close of its connections. */
+private fun exitAsDead() = Runtime.getRuntime().halt(DIED)
+
+private const val DIED = 70
--- a/testkit/src/main/kotlin/samphirechute/testkit/StandInEngine.kt
+++ b/testkit/src/main/kotlin/samphirechute/testkit/StandInEngine.kt
@@ -2,29 +2,39 @@
 
 import kotlinx.serialization.json.Json
 import samphirechute.core.HostPort
-import samphirechute.core.RequestId
+import samphirechute.core.RunState
 import samphirechute.core.engine.Announcement
 import samphirechute.core.engine.CancelBody
+import samphirechute.core.engine.EngineRefusal
 import samphirechute.core.engine.GenerateBody
-import samphirechute.core.engine.TokenLine
-import samphirechute.core.time.Subscription
+import samphirechute.core.engine.KvBody
+import samphirechute.core.engine.OrderBody
 import samphirechute.net.EventLoop
 import samphirechute.net.Exchange
 import samphirechute.net.HttpClient
 import samphirechute.net.HttpServer
-import samphirechute.net.ResponseStream
+import samphirechute.testkit.engine.EngineModel
+import kotlin.random.Random
 
-/** A small model engine over HTTP. Its answer to a request depends on the request id only, so it can be checked. */
+/**
+ * A small model engine over HTTP. Its answer to a request depends on the request id only, so it can be checked.
+ * [EngineModel] has the scheduling; this class has the paths, the announcements and the faults.
+ */
 class StandInEngine(
     private val options: StandInOptions,
     private val loop: EventLoop,
     client: HttpClient,
     key: String?,
-) {
-    private val running = HashMap<RequestId, Running>()
+    private val onDied: () -> Unit = {},
+) : AutoCloseable {
+    private val model = EngineModel(options.engineSettings(), loop.timer, Random(options.seed))
+    private val faults = FaultSwitch()
+    private val control = ControlApi(faults, ::faultSwitched, ::leave)
     private val server = HttpServer(loop, handler = ::handle)
-    private val generation = System.currentTimeMillis()
+    private val firstGeneration = System.currentTimeMillis()
     private var sequence = 0L
+    private var isDead = false
+    private var isLeaving = false
     private var address = options.listenAddress
     private val announcer = Announcer(loop, client, options.announceTo, key, ::announcement)
 
@@ -34,12 +44,43 @@
         return address
     }
 
+    override fun close() {
+        isDead = true
+        server.close()
+    }
+
     private fun handle(exchange: Exchange) {
+        if (control.handle(exchange)) return
+        if (model.isDown) return exchange.drop()
         val body = exchange.request.body.decodeToString()
         when (exchange.request.path) {
-            "/v1/generate" -> generate(exchange, json.decodeFromString(GenerateBody.serializer(), body))
-            "/v1/cancel" -> cancel(exchange, json.decodeFromString(CancelBody.serializer(), body))
-            else -> exchange.respond(404, JSON_TYPE, "{}".encodeToByteArray())
+            "/v1/generate" -> {
+                generate(exchange, json.decodeFromString(GenerateBody.serializer(), body))
+            }
+
+            "/v1/cancel" -> {
+                cancel(exchange, json.decodeFromString(CancelBody.serializer(), body))
+            }
+
+            "/v1/orders" -> {
+                order(exchange, json.decodeFromString(OrderBody.serializer(), body))
+            }
+
+            "/v1/kv/export", "/v1/kv/import", "/v1/kv/release" -> {
+                keyValue(exchange, json.decodeFromString(KvBody.serializer(), body))
+            }
+
+            "/control/state" -> {
+                exchange.respondJson(OK, state())
+            }
+
+            "/control/orders" -> {
+                exchange.respondJson(OK, ordersExecuted())
+            }
+
+            else -> {
+                exchange.respondJson(NOT_FOUND, "{}")
+            }
         }
     }
 
@@ -47,39 +88,101 @@
         exchange: Exchange,
         body: GenerateBody,
     ) {
-        if (running.size >= options.maxConcurrency) {
-            return exchange.respond(429, JSON_TYPE, """{"error":{"code":"full"}}""".encodeToByteArray())
-        }
-        val request = Running(body, exchange.startStream(200, "application/x-ndjson"))
-        running[body.requestId] = request
-        exchange.onAborted = { end(request) }
+        if (faults.isOn(UpstreamFault.REFUSE)) return refuse(exchange, body.requestId.value, TOO_MANY, "refusing")
+        if (isLeaving) return refuse(exchange, body.requestId.value, UNAVAILABLE, "leaving")
+        val answer = LazyStream { exchange.startStream(OK, "application/x-ndjson") }
+        val listener = EngineStream(body.requestId, answer, faults, loop.timer, options.lateMs)
+        exchange.onAborted = { model.cancel(body.requestId, body.attempt) }
         exchange.releaseBody()
-        val prefillMs = (body.promptTokens * 1_000 / options.prefillTokensPerSecond).toLong()
-        request.timer = loop.timer.after(prefillMs) { request.step() }
+        val refusal = model.submit(body, listener)
+        if (refusal != null) return refuse(exchange, body.requestId.value, TOO_MANY, refusal)
+        if (!faults.isOn(UpstreamFault.SILENT)) answer.open()
     }
 
     private fun cancel(
         exchange: Exchange,
         body: CancelBody,
     ) {
-        running[body.requestId]?.let {
-            end(it)
-            it.stream.abort()
+        if (faults.isOn(UpstreamFault.SILENT)) return
+        model.cancel(body.requestId, body.attempt)
+        exchange.respondJson(OK, "{}")
+    }
+
+    private fun keyValue(
+        exchange: Exchange,
+        body: KvBody,
+    ) {
+        val isDone =
+            when (exchange.request.path) {
+                "/v1/kv/export" -> model.exportKv(body.requestId, body.tokens)
+                "/v1/kv/import" -> model.importKv(body.requestId, body.tokens)
+                else -> model.releaseKv(body.requestId).let { true }
+            }
+        if (isDone) exchange.respondJson(OK, "{}") else refuse(exchange, body.requestId.value, CONFLICT, "no_memory")
+    }
+
+    private fun order(
+        exchange: Exchange,
+        body: OrderBody,
+    ) {
+        if (model.orders.accept(body.operationId, body.fencingNumber, body.order.toString())) {
+            exchange.respondJson(OK, """{"operation_id":"${body.operationId}"}""")
+        } else {
+            refuse(exchange, body.operationId, CONFLICT, "old_fencing_number")
+        }
+    }
+
+    private fun refuse(
+        exchange: Exchange,
+        requestId: String,
+        status: Int,
+        code: String,
+    ) {
+        val body = json.encodeToString(EngineRefusal.serializer(), EngineRefusal(requestId, code, RunState.NOT_RUN))
+        exchange.respondJson(status, body)
+    }
+
+    private fun faultSwitched(fault: UpstreamFault) {
+        when (fault) {
+            UpstreamFault.DIE -> {
+                close()
+                onDied()
+            }
+
+            UpstreamFault.COLD -> {
+                model.becomeCold()
+            }
+
+            UpstreamFault.LOSE_CACHE -> {
+                model.loseCache()
+            }
+
+            else -> {}
         }
-        exchange.respond(200, JSON_TYPE, "{}".encodeToByteArray())
     }
 
-    private fun end(request: Running) {
-        request.timer?.cancel()
-        running.remove(request.body.requestId, request)
+    private fun leave() {
+        isLeaving = true
+        announcer.announce()
     }
 
-    private fun announcement() =
-        Announcement(
+    private fun state() =
+        """{"running":${model.runningRequests},"used_memory_tokens":${model.usedMemoryTokens},""" +
+            """"overloads":${model.overloads},"cold":${model.isCold}}"""
+
+    private fun ordersExecuted() =
+        model.orders.executed.joinToString(",", "[", "]") {
+            """{"operation_id":"${it.operationId}","fencing_number":${it.fencing},"order":${it.order}}"""
+        }
+
+    private fun announcement(): Announcement? {
+        if (isDead || model.isDown) return null
+        val load = model.reportedLoad()
+        return Announcement(
             upstream = options.id,
             failureDomain = options.failureDomain,
             address = address.toString(),
-            generation = generation,
+            generation = firstGeneration + model.generation - 1,
             sequence = ++sequence,
             kind = "engine",
             pools = options.poolNames,
@@ -88,37 +191,23 @@
             prefillTokensPerSecond = options.prefillTokensPerSecond,
             decodeStepMs = options.decodeStepMs,
             coldConcurrency = options.coldConcurrency,
-            runningRequests = running.size,
-            held = running.values.associate { it.body.requestId.value to it.body.promptTokens + it.body.maxTokens },
+            coldPrefillTokens = options.coldPrefillTokens,
+            runningRequests = load.runningRequests,
+            queuedPrefillTokens = load.queuedPrefillTokens,
+            usedMemoryTokens = load.usedMemoryTokens,
+            held = load.held,
+            cache = model.takeCacheEvents(),
+            leaving = isLeaving,
             checksFencing = options.checksFencing,
         )
-
-    private inner class Running(
-        val body: GenerateBody,
-        val stream: ResponseStream,
-    ) {
-        private var offset = body.resumeOffset
-        var timer: Subscription? = null
-
-        fun step() {
-            if (offset == body.maxTokens) return finish()
-            write(TokenLine(body.requestId.value, offset, DeterministicAnswer.token(body.requestId, offset)))
-            offset++
-            timer = loop.timer.after(options.decodeStepMs.toLong()) { step() }
-        }
-
-        private fun finish() {
-            write(TokenLine(body.requestId.value, done = true, totalTokens = offset))
-            end(this)
-            stream.finish()
-        }
-
-        private fun write(line: TokenLine) =
-            stream.write((json.encodeToString(TokenLine.serializer(), line) + "\n").encodeToByteArray())
     }
 
     private companion object {
-        const val JSON_TYPE = "application/json"
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val CONFLICT = 409
+        const val TOO_MANY = 429
+        const val UNAVAILABLE = 503
         val json = Json { ignoreUnknownKeys = true }
     }
 }
