--- a/routing/src/test/kotlin/samphirechute/routing/flow/RequestFlowSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/RequestFlowSpec.kt
@@ -234,6 +234,14 @@
             }
         }
 
+        /** Guards against "not run" when the flow hears of the first byte only at the deadline. */
+        @Test
+        fun `bytes sent count even when they are reported at the deadline`() {
+            val flow = flow(isNonRepeatable = true).apply { feed(0L to FlowInput.Started) }
+            flow.feed(1L to FlowInput.ClaimAnswered(ClaimAnswer.Accepted), 2L to FlowInput.Granted(grant(1)))
+            assertEquals(RunState.UNKNOWN, outcome(flow.handle(FlowInput.BytesSent(1), 60_000)).runState)
+        }
+
         /** Guards against a resend that finds no answer although the caller has got one. */
         @Test
         fun `the outcome is recorded before the request ends, and the caller is told by its deadline in any case`() {
--- a/testkit/src/main/kotlin/samphirechute/testkit/StandInApplication.kt
+++ b/testkit/src/main/kotlin/samphirechute/testkit/StandInApplication.kt
@@ -2,9 +2,8 @@
 
 import kotlinx.serialization.json.Json
 import samphirechute.core.HostPort
-import samphirechute.core.RunState
 import samphirechute.core.engine.Announcement
-import samphirechute.core.engine.EngineRefusal
+import samphirechute.core.engine.RefusalBody
 import samphirechute.net.EventLoop
 import samphirechute.net.Exchange
 import samphirechute.net.HttpClient
@@ -103,7 +102,7 @@
         requestId: String,
         code: String,
     ) {
-        val body = Json.encodeToString(EngineRefusal.serializer(), EngineRefusal(requestId, code, RunState.NOT_RUN))
+        val body = Json.encodeToString(RefusalBody.serializer(), RefusalBody(requestId, code))
         exchange.respondJson(UNAVAILABLE, body, mapOf(REQUEST_ID to requestId))
     }
 
--- a/testkit/src/main/kotlin/samphirechute/testkit/StandInEngine.kt
+++ b/testkit/src/main/kotlin/samphirechute/testkit/StandInEngine.kt
@@ -2,13 +2,12 @@
 
 import kotlinx.serialization.json.Json
 import samphirechute.core.HostPort
-import samphirechute.core.RunState
 import samphirechute.core.engine.Announcement
 import samphirechute.core.engine.CancelBody
-import samphirechute.core.engine.EngineRefusal
 import samphirechute.core.engine.GenerateBody
 import samphirechute.core.engine.KvBody
 import samphirechute.core.engine.OrderBody
+import samphirechute.core.engine.RefusalBody
 import samphirechute.net.EventLoop
 import samphirechute.net.Exchange
 import samphirechute.net.HttpClient
@@ -138,7 +137,7 @@
         status: Int,
         code: String,
     ) {
-        val body = json.encodeToString(EngineRefusal.serializer(), EngineRefusal(requestId, code, RunState.NOT_RUN))
+        val body = json.encodeToString(RefusalBody.serializer(), RefusalBody(requestId, code))
         exchange.respondJson(status, body)
     }
 
