--- a/routing/src/main/kotlin/samphirechute/routing/flow/RequestFlow.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/RequestFlow.kt
@@ -37,19 +37,51 @@
         nowMs: Long,
     ): List<FlowOutput> {
         out = mutableListOf()
+        // Bytes that were sent before the deadline count even when the flow hears of them after it.
+        if (input is FlowInput.BytesSent) bytesSent(input.attempt, nowMs)
         if (nowMs >= request.deadlineMs) stop(FlowCode.DEADLINE_EXCEEDED, "the deadline has passed")
         when (input) {
-            FlowInput.Started -> start(nowMs)
-            is FlowInput.ClaimAnswered -> claimAnswered(input.answer, nowMs)
-            is FlowInput.Granted -> granted(input.grant, nowMs)
-            is FlowInput.GrantRefused -> grantRefused(input, nowMs)
-            is FlowInput.BytesSent -> bytesSent(input.attempt, nowMs)
-            is FlowInput.TokensArrived -> tokensArrived(input, nowMs)
-            is FlowInput.AnswerEnded -> answerEnded(input, nowMs)
-            is FlowInput.AttemptFailed -> attemptFailed(input, nowMs)
-            is FlowInput.OutcomeRecorded -> (state as? FlowState.Recording)?.let { finish(it.outcome) }
-            FlowInput.CallerGone -> if (!request.runsOnWithoutCaller) stop(FlowCode.CALLER_GONE, "the caller left")
-            FlowInput.Ticked -> ticked(nowMs)
+            FlowInput.Started -> {
+                start(nowMs)
+            }
+
+            is FlowInput.ClaimAnswered -> {
+                claimAnswered(input.answer, nowMs)
+            }
+
+            is FlowInput.Granted -> {
+                granted(input.grant, nowMs)
+            }
+
+            is FlowInput.GrantRefused -> {
+                grantRefused(input, nowMs)
+            }
+
+            is FlowInput.BytesSent -> {}
+
+            is FlowInput.TokensArrived -> {
+                tokensArrived(input, nowMs)
+            }
+
+            is FlowInput.AnswerEnded -> {
+                answerEnded(input, nowMs)
+            }
+
+            is FlowInput.AttemptFailed -> {
+                attemptFailed(input, nowMs)
+            }
+
+            is FlowInput.OutcomeRecorded -> {
+                (state as? FlowState.Recording)?.let { finish(it.outcome) }
+            }
+
+            FlowInput.CallerGone -> {
+                if (!request.runsOnWithoutCaller) stop(FlowCode.CALLER_GONE, "the caller left")
+            }
+
+            FlowInput.Ticked -> {
+                ticked(nowMs)
+            }
         }
         return out
     }
