Assign a lost document after its lease, not after two and a half of them

Cause: the assigner counts at most 200 ms between two inputs, so that a clock that jumps fails no document, but it was fed each 500 ms only. Ruled out: the log's own lease, which had run out after 15 s.

Change: the leader feeds it each 100 ms.

--- a/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentLeader.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentLeader.kt
@@ -33,9 +33,9 @@
     private val addresses = (runtime.settings.peers + runtime.settings.self).associate { it.instance to it.address }
 
     fun start() {
-        runtime.timer.every(TICK_MS) {
-            if (!store.isLeader) return@every
-            feed(DocumentInput.RunnersChanged(sync.members.map(::toRunner)))
+        runtime.timer.every(TICK_MS) { if (store.isLeader) feed(DocumentInput.Ticked) }
+        runtime.timer.every(RUNNERS_MS) {
+            if (store.isLeader) feed(DocumentInput.RunnersChanged(sync.members.map(::toRunner)))
         }
     }
 
@@ -102,7 +102,9 @@
     }
 
     private companion object {
-        const val TICK_MS = 500L
+        /** The assigner counts at most 200 ms between two inputs, so that a clock that jumps fails no document. */
+        const val TICK_MS = 100L
+        const val RUNNERS_MS = 500L
         const val TELL_TIMEOUT_MS = 1_000L
     }
 }
--- a/daemon/src/test/kotlin/samphirechute/daemon/FailureSpec.kt
+++ b/daemon/src/test/kotlin/samphirechute/daemon/FailureSpec.kt
@@ -147,7 +147,7 @@
                 kill(InstanceId(runner))
                 val other = peers.indices.first { peers[it].instance.value != runner }
                 // The lease of a lost runner lasts 15 s; the run itself takes a few.
-                await("the document is finished elsewhere", deadlineMs = 45_000) {
+                await("the document is finished elsewhere", deadlineMs = 30_000) {
                     get(other, location).statusCode() ==
                         200
                 }
