--- a/state/src/main/kotlin/samphirechute/state/sync/ConfigurationHistory.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/ConfigurationHistory.kt
@@ -9,7 +9,10 @@
     private val changedAt = mutableMapOf<ServiceName, Long>()
     private val removedAt = mutableMapOf<ServiceName, Long>()
 
-    /** Changes are known from this revision on; an older base gets the whole set. */
+    /**
+     * Changes are known from this revision on; an older base gets the whole set. Changes include services that changed
+     * back, or came and went, between two revisions seen here: another instance may have seen the one in between.
+     */
     private var knownFrom = 0L
 
     var revision = 0L
@@ -21,7 +24,10 @@
     fun apply(configuration: Configuration): Boolean {
         if (configuration.revision <= revision) return false
         val names = configuration.services.mapTo(mutableSetOf()) { it.name }
-        apply(configuration.services, services.keys - names, configuration.revision)
+        val changed = configuration.services.filter { services[it.name] != it }
+        // A whole set does not tell what changed and changed back in the revisions that it skips.
+        if (configuration.revision > revision + 1) knownFrom = configuration.revision
+        apply(changed, services.keys - names, configuration.revision)
         return true
     }
 
@@ -50,16 +56,13 @@
         removed: Collection<ServiceName>,
         newRevision: Long,
     ) {
-        // The first set stands for all changes before it, of which nothing is known.
-        if (revision == 0L) knownFrom = newRevision
         for (service in changed) {
-            if (services[service.name] == service) continue
             services[service.name] = service
             changedAt[service.name] = newRevision
             removedAt -= service.name
         }
         for (name in removed) {
-            if (services.remove(name) == null) continue
+            services -= name
             changedAt -= name
             removedAt[name] = newRevision
         }
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
@@ -44,6 +44,8 @@
     /** Drain orders given during a partition that the log does not have yet. */
     val pendingDrains get() = drains.pending
 
+    internal val drainEntries get() = drains.entries.toList()
+
     val drainVersion: Long get() = drains.record.version
 
     /** The members of the own failure domain that were ever seen. */
--- a/state/src/test/kotlin/samphirechute/state/sync/SimStore.kt
+++ b/state/src/test/kotlin/samphirechute/state/sync/SimStore.kt
@@ -9,6 +9,7 @@
 import samphirechute.state.command.Command
 import samphirechute.state.command.DrainTarget
 import samphirechute.state.drain.DrainRecord
+import samphirechute.state.drain.OverlayEntry
 import kotlin.random.Random
 
 /** The committed state of the store, without the log: every commit succeeds once, and a resend gets its first answer. */
@@ -20,9 +21,7 @@
         private set
     var drains = DrainRecord()
         private set
-
-    /** The versions that brought a target back. */
-    val undrains = mutableMapOf<Long, DrainTarget>()
+    private val records = mutableMapOf(0L to drains)
     private val versions = mutableMapOf<OperationId, Long>()
 
     fun publish() {
@@ -39,10 +38,24 @@
         versions.getOrPut(command.operationId) {
             val targets = if (command.isDrained) drains.targets + command.target else drains.targets - command.target
             drains = DrainRecord(drains.version + 1, targets)
-            if (!command.isDrained) undrains[drains.version] = command.target
+            records[drains.version] = drains
             drains.version
         }
 
+    /** Whether an instance that knows [version] and [entries] may have [target] in service. */
+    fun isBack(
+        target: DrainTarget,
+        version: Long,
+        entries: Collection<OverlayEntry>,
+    ): Boolean {
+        val areCommitted =
+            entries.filter { it.target == target }.all {
+                (versions[it.operationId] ?: version + 1) <=
+                    version
+            }
+        return areCommitted && records[version]?.let { target !in it.targets } == true
+    }
+
     private fun service(name: ServiceName) =
         ServiceSpec(
             name = name,
--- a/state/src/test/kotlin/samphirechute/state/sync/SyncScheduleSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/sync/SyncScheduleSpec.kt
@@ -122,7 +122,7 @@
     }
 
     private companion object {
-        const val SCHEDULES = 100L
+        const val SCHEDULES = 600L
         const val FAULTS = 20
 
         /** Two leases and an election for the coordinator, then the time in which a configuration must be in force. */
--- a/state/src/test/kotlin/samphirechute/state/sync/SyncWorld.kt
+++ b/state/src/test/kotlin/samphirechute/state/sync/SyncWorld.kt
@@ -10,6 +10,7 @@
 import samphirechute.state.command.Command
 import samphirechute.state.command.DrainTarget
 import samphirechute.state.drain.DrainInput
+import samphirechute.state.drain.OverlayEntry
 import samphirechute.state.lease.DomainLease
 import samphirechute.state.lease.LeaseInput
 import samphirechute.state.lease.LeaseMessage
@@ -114,18 +115,18 @@
         lateinit var sync: SyncNode
         lateinit var lease: DomainLease
         val held = mutableMapOf<InstanceId, String>()
-        var sentBytes = 0L
+        val forwarded = mutableListOf<InstanceId>()
         private var disk = Configuration()
         private var highest = 0L
         private var required = emptyMap<Node, Long>()
         private var targets = emptySet<DrainTarget>()
-        private var drainVersion = 0L
+        private var entries = emptyList<OverlayEntry>()
 
         fun start() {
             process.start()
             highest = 0
             targets = emptySet()
-            drainVersion = 0
+            entries = emptyList()
             val incarnation = WALL_BASE_MS + timer.nowMs()
             create(incarnation)
             required = nodesToAsk().associateWith { it.sync.configuration.revision }
@@ -170,10 +171,9 @@
             ) {
                 faults += "$id has another set at $revision"
             }
-            val versions = drainVersion + 1..sync.drainVersion
             val returned =
-                (targets - sync.drainedTargets).filter { target -> versions.none { store.undrains[it] == target } }
-            drainVersion = sync.drainVersion
+                (targets - sync.drainedTargets).filterNot { store.isBack(it, sync.drainVersion, entries) }
+            entries = sync.drainEntries
             if (returned.isNotEmpty()) faults += "at ${timer.nowMs()} ms $id brought back $returned"
             targets = sync.drainedTargets
             val unordered = targets - ordered
@@ -219,6 +219,7 @@
                 is SyncOutput.Ready -> onReady()
                 is SyncOutput.CommitDrain -> commit(output.command)
                 is SyncOutput.GrantsHeld -> held[output.instance] = output.payload.toString()
+                is SyncOutput.ForwardReports -> forwarded += output.to
                 else -> Unit
             }
         }
@@ -256,7 +257,6 @@
         ) {
             val target = nodes.getValue(to)
             val text = Json.encodeToString(SyncMessage.serializer(), message)
-            sentBytes += text.length
             network.send(id, to) {
                 if (target.process.isUp) {
                     target.receive(Json.decodeFromString(SyncMessage.serializer(), text))
