--- a/routing/src/main/kotlin/samphirechute/routing/flow/RequestFlow.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/RequestFlow.kt
@@ -41,47 +41,17 @@
         if (input is FlowInput.BytesSent) bytesSent(input.attempt, nowMs)
         if (nowMs >= request.deadlineMs) stop(FlowCode.DEADLINE_EXCEEDED, "the deadline has passed")
         when (input) {
-            FlowInput.Started -> {
-                start(nowMs)
-            }
-
-            is FlowInput.ClaimAnswered -> {
-                claimAnswered(input.answer, nowMs)
-            }
-
-            is FlowInput.Granted -> {
-                granted(input.grant, nowMs)
-            }
-
-            is FlowInput.GrantRefused -> {
-                grantRefused(input, nowMs)
-            }
-
-            is FlowInput.BytesSent -> {}
-
-            is FlowInput.TokensArrived -> {
-                tokensArrived(input, nowMs)
-            }
-
-            is FlowInput.AnswerEnded -> {
-                answerEnded(input, nowMs)
-            }
-
-            is FlowInput.AttemptFailed -> {
-                attemptFailed(input, nowMs)
-            }
-
-            is FlowInput.OutcomeRecorded -> {
-                (state as? FlowState.Recording)?.let { finish(it.outcome) }
-            }
-
-            FlowInput.CallerGone -> {
-                if (!request.runsOnWithoutCaller) stop(FlowCode.CALLER_GONE, "the caller left")
-            }
-
-            FlowInput.Ticked -> {
-                ticked(nowMs)
-            }
+            FlowInput.Started -> start(nowMs)
+            is FlowInput.ClaimAnswered -> claimAnswered(input.answer, nowMs)
+            is FlowInput.Granted -> granted(input.grant, nowMs)
+            is FlowInput.GrantRefused -> grantRefused(input, nowMs)
+            is FlowInput.BytesSent -> return out
+            is FlowInput.TokensArrived -> tokensArrived(input, nowMs)
+            is FlowInput.AnswerEnded -> answerEnded(input, nowMs)
+            is FlowInput.AttemptFailed -> attemptFailed(input, nowMs)
+            is FlowInput.OutcomeRecorded -> (state as? FlowState.Recording)?.let { finish(it.outcome) }
+            FlowInput.CallerGone -> if (!request.runsOnWithoutCaller) stop(FlowCode.CALLER_GONE, "the caller left")
+            FlowInput.Ticked -> ticked(nowMs)
         }
         return out
     }
@@ -104,17 +74,9 @@
         out += claim.answered(claimAnswer, isAwaited)
         if (!isAwaited) return
         when (claimAnswer) {
-            ClaimAnswer.Accepted -> {
-                askGrant(FIRST_ATTEMPT, nowMs)
-            }
-
-            is ClaimAnswer.InProgress -> {
-                state = FlowState.Claiming(nowMs + clampedWait(claimAnswer.retryAfterMs))
-            }
-
-            else -> {
-                finish(claimAnswer.toOutcome())
-            }
+            ClaimAnswer.Accepted -> askGrant(FIRST_ATTEMPT, nowMs)
+            is ClaimAnswer.InProgress -> state = FlowState.Claiming(nowMs + clampedWait(claimAnswer.retryAfterMs))
+            else -> finish(claimAnswer.toOutcome())
         }
     }
 
@@ -270,27 +232,12 @@
 
     private fun ticked(nowMs: Long) {
         when (times.expired(state, answer.nextOffset, nowMs)) {
-            FlowTimeout.ASK_CLAIM_AGAIN -> {
-                askClaim()
-            }
-
-            FlowTimeout.ASK_GRANT_AGAIN -> {
-                (state as? FlowState.AwaitingGrant)?.let { askGrant(it.attempt, nowMs) }
-            }
-
-            FlowTimeout.GRANT_TOO_LATE -> {
-                stop(FlowCode.DEADLINE_UNREACHABLE, "no upstream was free in time")
-            }
-
-            FlowTimeout.FIRST_TOKEN_TOO_LATE -> {
-                stop(FlowCode.DEADLINE_UNREACHABLE, "the first token is too late")
-            }
-
-            FlowTimeout.SILENT -> {
-                attempt()?.let { lose(it, GrantEnding.SILENT, nowMs) }
-            }
-
-            null -> {}
+            FlowTimeout.ASK_CLAIM_AGAIN -> askClaim()
+            FlowTimeout.ASK_GRANT_AGAIN -> (state as? FlowState.AwaitingGrant)?.let { askGrant(it.attempt, nowMs) }
+            FlowTimeout.GRANT_TOO_LATE -> stop(FlowCode.DEADLINE_UNREACHABLE, "no upstream was free in time")
+            FlowTimeout.FIRST_TOKEN_TOO_LATE -> stop(FlowCode.DEADLINE_UNREACHABLE, "the first token is too late")
+            FlowTimeout.SILENT -> attempt()?.let { lose(it, GrantEnding.SILENT, nowMs) }
+            null -> return
         }
     }
 
@@ -299,29 +246,11 @@
         code: String,
         message: String,
     ) {
-        when (val current = state) {
-            is FlowState.Finished -> {
-                return
-            }
-
-            is FlowState.Recording -> {
-                return finish(current.outcome)
-            }
-
-            is FlowState.AwaitingGrant -> {
-                out += FlowOutput.WithdrawGrant(current.attempt)
-            }
-
-            is FlowState.Dispatched -> {
-                abandon(current.attempt, GrantEnding.CANCELLED)
-            }
-
-            is FlowState.Streaming -> {
-                abandon(current.attempt, GrantEnding.CANCELLED)
-            }
-
-            FlowState.Accepted, is FlowState.Claiming -> {}
-        }
+        val current = state
+        if (current is FlowState.Finished) return
+        if (current is FlowState.Recording) return finish(current.outcome)
+        if (current is FlowState.AwaitingGrant) out += FlowOutput.WithdrawGrant(current.attempt)
+        attempt()?.let { abandon(it, GrantEnding.CANCELLED) }
         giveUp(code, message)
     }
 
@@ -333,13 +262,13 @@
     ) {
         val runState = if (sentAttempts.isEmpty()) RunState.NOT_RUN else RunState.UNKNOWN
         val isLost = request.isNonRepeatable && runState == RunState.UNKNOWN
-        val outcome =
+        finish(
             when {
                 claim.isRunningElsewhere -> inProgressOutcome(retryAfterMs)
                 isLost -> FlowOutcome(runState, FlowCode.OUTCOME_UNKNOWN, message, retryAfterMs)
                 else -> FlowOutcome(runState, code, message, retryAfterMs)
-            }
-        finish(outcome)
+            },
+        )
     }
 
     private fun finish(outcome: FlowOutcome) {
