Add benches over real processes: path, footprint and publish

Nothing measured what a daemon costs as a process. The benches start daemons on loopback through their launcher, read processor time and memory from the kernel, and bytes from a counter at the sockets, which the daemon now also exposes as a metric.

--- a/bench/src/main/kotlin/samphirechute/bench/Main.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/Main.kt
@@ -4,6 +4,9 @@
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.Option
+import samphirechute.bench.process.FootprintBench
+import samphirechute.bench.process.PathBench
+import samphirechute.bench.process.PublishBench
 import samphirechute.bench.routing.ColdBench
 import samphirechute.bench.routing.DecideBench
 import samphirechute.bench.routing.DomainBench
@@ -20,9 +23,12 @@
         "decide" to ::DecideBench,
         "domain" to ::DomainBench,
         "fair" to ::FairBench,
+        "footprint" to ::FootprintBench,
         "memory" to ::MemoryBench,
         "mix" to ::MixBench,
         "overload" to ::OverloadBench,
+        "path" to ::PathBench,
+        "publish" to ::PublishBench,
     )
 
 private class BenchArguments {
--- a/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
@@ -25,6 +25,7 @@
 import samphirechute.daemon.document.FindReply
 import samphirechute.daemon.http.DaemonApi
 import samphirechute.daemon.metrics.RequestMetrics
+import samphirechute.daemon.metrics.TrafficMetrics
 import samphirechute.daemon.operator.OperatorApi
 import samphirechute.daemon.operator.Views
 import samphirechute.daemon.peer.LeaseReply
@@ -91,6 +92,7 @@
             blobStore?.let(::cleanBlobs)
         }
         JvmMetrics.builder().register(registry)
+        TrafficMetrics.register(registry, runtime.client.traffic, server.traffic)
         return address
     }
 
--- a/net/src/main/kotlin/samphirechute/net/HttpClient.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpClient.kt
@@ -22,6 +22,9 @@
 ) {
     private val pool = ConnectionPool(loop.timer, maxIdleMs)
 
+    /** The bytes of all connections that this client opened. */
+    val traffic = TrafficCounter()
+
     /** Starts a call; must be called on the loop. */
     fun send(
         request: ClientRequest,
@@ -77,7 +80,7 @@
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 val codec = HttpClientCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, CHUNK_BYTES)
-                channel.pipeline().addLast(codec, ClientConnection(address, pool))
+                channel.pipeline().addLast(traffic.handler, codec, ClientConnection(address, pool))
             }
         }
 
--- a/net/src/main/kotlin/samphirechute/net/HttpServer.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -23,6 +23,9 @@
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private var listener: Channel? = null
 
+    /** The bytes of all connections that clients opened. */
+    val traffic = TrafficCounter()
+
     val openConnections: Int get() = connections.size
 
     /** Bytes of request bodies held in memory. */
@@ -64,6 +67,7 @@
                 }
                 connections += channel
                 channel.pipeline().addLast(
+                    traffic.handler,
                     HttpServerCodec(limits.maxHeadBytes, limits.maxHeadBytes, CHUNK_BYTES),
                     ServerConnection(loop, limits, budget, handler),
                 )
