--- a/testkit/src/test/kotlin/samphirechute/testkit/StandInSpec.kt
+++ b/testkit/src/test/kotlin/samphirechute/testkit/StandInSpec.kt
@@ -7,12 +7,14 @@
 import org.junit.jupiter.api.Nested
 import samphirechute.core.HostPort
 import samphirechute.core.RequestId
+import samphirechute.core.engine.Announcement
 import samphirechute.core.engine.TokenLine
 import samphirechute.net.ClientFailure
 import samphirechute.net.ClientRequest
 import samphirechute.net.ClientResponse
 import samphirechute.net.EventLoop
 import samphirechute.net.HttpClient
+import samphirechute.net.HttpServer
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -120,6 +122,54 @@
         }
     }
 
+    @Nested
+    inner class EngineMemoryAndOrders {
+        private val address = StandInEngine(options.apply { checksFencing = true }, loop, client, null).start()
+
+        private fun status(
+            path: String,
+            body: String,
+        ) = call(address, path, body).get()?.status
+
+        /** Guards against lent memory without a limit, and against orders of a leader that was replaced. */
+        @Test
+        fun `refuses memory that it does not have and orders with an old fencing number`() {
+            val rows =
+                listOf(
+                    Triple("/v1/kv/import", """{"request_id":"g1","tokens":300000}""", 200),
+                    Triple("/v1/kv/import", """{"request_id":"g2","tokens":300000}""", 409),
+                    Triple("/v1/kv/release", """{"request_id":"g1"}""", 200),
+                    Triple("/v1/kv/import", """{"request_id":"g2","tokens":300000}""", 200),
+                    Triple("/v1/orders", """{"operation_id":"o1","fencing_number":5,"order":{}}""", 200),
+                    Triple("/v1/orders", """{"operation_id":"o2","fencing_number":4,"order":{}}""", 409),
+                )
+            for ((path, body, expected) in rows) assertEquals(expected, status(path, body), "$path $body")
+            val executed = """[{"operation_id":"o1","fencing_number":5,"order":{}}]"""
+            assertEquals(executed, call(address, "/control/orders").text())
+        }
+    }
+
+    @Nested
+    inner class Leaving {
+        /** Guards against a leaving upstream that says so only with its next regular announcement, or takes new work. */
+        @Test
+        fun `is announced at once, and new requests are refused`() {
+            val announced = CompletableFuture<Announcement>()
+            val instance =
+                HttpServer(loop) { exchange ->
+                    val body = exchange.request.body.decodeToString()
+                    val announcement = Json.decodeFromString(Announcement.serializer(), body)
+                    if (announcement.leaving) announced.complete(announcement)
+                    exchange.respondJson(200, "{}")
+                }
+            options.announce = instance.bind(HostPort("127.0.0.1", 0)).toString()
+            val address = StandInEngine(options, loop, client, null).start()
+            call(address, "/control/leave")
+            assertEquals("u1", announced.get(DEADLINE_MS, TimeUnit.MILLISECONDS).upstream)
+            assertEquals(503, call(address, "/v1/generate", generate("r1")).get()?.status)
+        }
+    }
+
     @Nested
     inner class Application {
         private val address = StandInApplication(options, loop, client, null).start()
