Check 'not run' against earlier submissions once the store has answered

Cause: a trial that made the flow forget that the request runs elsewhere broke no cell of the fault matrix: the holder of the claim restarted before any deadline, and the checker looked at earlier runs only with a claim held. Change: the holder restarts after 3 s, and the check covers every submission that the store has answered.

--- a/routing/src/test/kotlin/samphirechute/routing/flow/matrix/FlowHost.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/FlowHost.kt
@@ -123,6 +123,7 @@
         val answer: (ClaimAnswer) -> Unit = {
             if (openCalls.remove(CLAIM)) {
                 submission.hasClaim = it == ClaimAnswer.Accepted
+                submission.hasAskedStore = it !is ClaimAnswer.Unavailable
                 feed(FlowInput.ClaimAnswered(it))
                 // The store answers a resend of the same command, so the flow sees the answer twice.
                 timer.after(REPEAT_MS) { feed(FlowInput.ClaimAnswered(it)) }
--- a/routing/src/test/kotlin/samphirechute/routing/flow/matrix/Promises.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/Promises.kt
@@ -62,14 +62,14 @@
             violation(orphans.isNotEmpty(), Promise.NOTHING_LEAKED) { "attempts $orphans not cancelled" }
     }
 
-    /** A claim also proves that no earlier submission ran; without one, the outcome speaks of its own only. */
+    /** Once the store has answered, the outcome speaks of earlier submissions too; without it, only of its own. */
     private fun notRun(
         sent: Submission,
         trace: Trace,
     ): List<Violation> {
         val (atMs, _) = sent.outcomes.firstOrNull { it.second.runState == RunState.NOT_RUN } ?: return emptyList()
         val own = trace.executions.filter { it.submission == sent.index }
-        val earlier = trace.executions.filter { sent.hasClaim && it.atMs <= atMs }
+        val earlier = trace.executions.filter { sent.hasAskedStore && it.atMs <= atMs }
         return violation((own + earlier).isNotEmpty(), Promise.NOT_RUN_IS_TRUE) { "not run, but ${own + earlier}" }
     }
 
--- a/routing/src/test/kotlin/samphirechute/routing/flow/matrix/Trace.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/Trace.kt
@@ -25,6 +25,9 @@
     var diedMs: Long? = null
     var callerGone = false
     var hasClaim = false
+
+    /** The store has told this submission of the claim, so it knows whether the request may have run before. */
+    var hasAskedStore = false
     var idleMs: Long? = null
     val outcomes = mutableListOf<Pair<Long, FlowOutcome>>()
     val delivered = mutableListOf<Pair<Long, String>>()
--- a/routing/src/test/kotlin/samphirechute/routing/flow/matrix/World.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/World.kt
@@ -173,7 +173,7 @@
         private const val MOST_SUBMISSIONS = 3
         private const val EXPIRY_MS = 250L
         private const val RESEND_MS = 50L
-        private const val RESTART_MS = 1_000L
+        private const val RESTART_MS = 3_000L
         private const val HEAL_MS = 5_000L
         private const val STEP_MS = 500L
         private const val SETTLE_MS = 8_000L
