Check the checker with planted faults, test the state, bound resends

Cause: the checks must be shown to find faults; with a disk that forgets acknowledged entries a refused append was resent without end.

--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -73,11 +73,20 @@
     fun onAppendReply(reply: RaftMessage.AppendReply) {
         val current = find(reply.from) ?: return
         current.noteContact(reply.echoMs, reply.wallMs, member.nowMs)
-        if (reply.isMatch) {
-            current.matchIndex = maxOf(current.matchIndex, reply.matchIndex)
-            current.nextIndex = maxOf(current.nextIndex, current.matchIndex + 1)
-        } else if (reply.lastIndex + 1 < current.nextIndex) {
-            current.nextIndex = maxOf(current.matchIndex, reply.lastIndex) + 1
+        when {
+            reply.isMatch -> {
+                current.matchIndex = maxOf(current.matchIndex, reply.matchIndex)
+                current.nextIndex = maxOf(current.nextIndex, current.matchIndex + 1)
+            }
+
+            // Old, repeated or impossible: entries sent at once for it would be answered alike, without end.
+            reply.lastIndex < current.matchIndex || reply.lastIndex + 1 >= current.nextIndex -> {
+                return
+            }
+
+            else -> {
+                current.nextIndex = reply.lastIndex + 1
+            }
         }
         if (current.nextIndex <= member.writtenIndex) sendEntries(current)
     }
@@ -87,9 +96,9 @@
         current.noteContact(reply.echoMs, reply.wallMs, member.nowMs)
         val transfer = current.transfer?.takeIf { it.state.index == reply.lastIndex } ?: return
         when {
-            // The receiver has restarted and lost the parts that it had.
+            // The receiver has restarted and lost the parts that it had, unless this is an old reply.
             reply.nextPart < transfer.partNumber -> {
-                startTransfer(current)
+                if (reply.echoMs >= transfer.sentMs) startTransfer(current)
             }
 
             // The receiver may be ahead when an old reply has made the transfer start anew.
--- a/state/src/test/kotlin/samphirechute/state/sim/RandomSchedule.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/RandomSchedule.kt
@@ -19,12 +19,14 @@
 internal class RandomSchedule(
     private val seed: Long,
     newDisk: () -> SimDisk = ::ValueDisk,
+    /** Plants a fault: callers also run on a claim that another one holds. */
+    isHasty: Boolean = false,
 ) {
     private val timings =
         RaftTimings(snapshotEntries = 12, trailingEntries = 6, catchUpEntries = 2, maxInFlightEntries = 8)
     private val cluster = SimCluster(seed, timings = timings, newDisk = newDisk)
     private val random = cluster.random
-    private val callers = Callers(cluster)
+    private val callers = Callers(cluster, isHasty)
 
     /** The faults that were found. */
     fun run(): List<String> =
@@ -104,6 +106,7 @@
 /** Callers that publish, drain and run non-repeatable requests; each resends what it has no answer for. */
 internal class Callers(
     private val cluster: SimCluster,
+    private val isHasty: Boolean = false,
 ) {
     private val random = cluster.random
     private val running = mutableListOf<Pair<ClaimKey, Claimant>>()
@@ -159,7 +162,8 @@
         val deadline = SimCluster.START_WALL_MS + cluster.timer.nowMs() + random.nextLong(DEADLINE_MS)
         cluster.propose(at, Command.ClaimRequest(key, "digest", claimant, deadline)) { outcome ->
             val result = (outcome as? ProposalOutcome.Committed)?.result
-            if (result is CommandResult.Claim && result.state == ClaimState.Accepted) {
+            val state = (result as? CommandResult.Claim)?.state
+            if (state == ClaimState.Accepted || (isHasty && state is ClaimState.Running)) {
                 if (random.nextInt(4) == 0) {
                     cluster.propose(at, Command.ReleaseClaim(key, claimant))
                 } else {
