Let a leader go back to the last entry known to match

Change: the reply names the entry it refused; the leader goes back no further than the acknowledged entries and ignores refusals of those.

--- a/state/src/main/kotlin/samphirechute/state/raft/Follower.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Follower.kt
@@ -25,12 +25,12 @@
         // Everything that the snapshot covers is committed, and so equals the leader's log.
         val isCovered = request.prevIndex < log.baseIndex
         if (!isCovered && log.termAt(request.prevIndex) != request.prevTerm) {
-            return reply(request.from, isMatch = false, lastIndex = lastBefore(request.prevIndex))
+            return reply(request.from, false, request.prevIndex, lastBefore(request.prevIndex))
         }
         store(request.entries.filter { it.index > log.baseIndex })
         matchIndex = maxOf(matchIndex, request.prevIndex + request.entries.size)
         member.commitTo(minOf(request.commitIndex, matchIndex))
-        reply(request.from, isMatch = true, lastIndex = log.lastIndex)
+        reply(request.from, true, request.prevIndex, log.lastIndex)
     }
 
     fun onSnapshot(request: SnapshotRequest) {
@@ -59,7 +59,7 @@
     fun onDiskDone() {
         val leader = member.leader ?: return
         if (matchTerm == member.term && durableMatch() > reportedIndex) {
-            reply(leader, isMatch = true, lastIndex = member.log.lastIndex)
+            reply(leader, true, matchIndex, member.log.lastIndex)
         }
     }
 
@@ -95,12 +95,13 @@
     private fun reply(
         to: DiskIdentity,
         isMatch: Boolean,
+        prevIndex: Long,
         lastIndex: Long,
     ) {
         val match = if (isMatch) durableMatch() else 0
         reportedIndex = maxOf(reportedIndex, match)
         val reply =
-            AppendReply(member.identity, member.term, isMatch, match, lastIndex, lastEchoMs, member.wallMs)
+            AppendReply(member.identity, member.term, isMatch, prevIndex, match, lastIndex, lastEchoMs, member.wallMs)
         member.send(to.instance, reply)
     }
 
--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -79,13 +79,16 @@
                 current.nextIndex = maxOf(current.nextIndex, current.matchIndex + 1)
             }
 
-            // Old, repeated or impossible: entries sent at once for it would be answered alike, without end.
-            reply.lastIndex < current.matchIndex || reply.lastIndex + 1 >= current.nextIndex -> {
+            // Old, or of a disk that has lost what it acknowledged: a resend would be answered alike, without end.
+            reply.prevIndex <= current.matchIndex || maxOf(
+                reply.lastIndex,
+                current.matchIndex,
+            ) + 1 >= current.nextIndex -> {
                 return
             }
 
             else -> {
-                current.nextIndex = reply.lastIndex + 1
+                current.nextIndex = maxOf(reply.lastIndex, current.matchIndex) + 1
             }
         }
         if (current.nextIndex <= member.writtenIndex) sendEntries(current)
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftMessage.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftMessage.kt
@@ -64,13 +64,17 @@
         val sentMs: Long,
     ) : RaftMessage()
 
-    /** [matchIndex] is durable at the sender. Without a match, [lastIndex] says where the leader may try next. */
+    /**
+     * Answers the request that followed [prevIndex]. [matchIndex] is durable at the sender. Without a match, [lastIndex]
+     * says where the leader may try next.
+     */
     @Serializable
     @SerialName("append_reply")
     data class AppendReply(
         override val from: DiskIdentity,
         override val term: Long,
         val isMatch: Boolean,
+        val prevIndex: Long,
         val matchIndex: Long,
         val lastIndex: Long,
         val echoMs: Long,
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -119,7 +119,7 @@
             val last = member.log.lastIndex
             member.send(
                 message.from.instance,
-                RaftMessage.AppendReply(member.identity, member.term, false, 0, last, echoMs, member.wallMs),
+                RaftMessage.AppendReply(member.identity, member.term, false, 0, 0, last, echoMs, member.wallMs),
             )
             return false
         }
