Ask for digests by age instead of telling their versions in each message

Cause: versions of all digests in each message and a digest in each reply made up most of the sync traffic. Change: an instance asks its coordinator for digests older than 1,250 ms, and others for those older than 2,000 ms; coordinators tell each other their own. Heartbeats of a large table go out once in 20 ms per row. The bench has 360 instances instead of 357.

--- a/bench/src/main/kotlin/samphirechute/bench/sync/MembersBench.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/sync/MembersBench.kt
@@ -11,7 +11,7 @@
 object MembersBench {
     private class Size(
         val domains: Int,
-        val perDomain: Int,
+        val instances: Int,
         val pools: Int,
         val lossMs: Long,
     )
@@ -19,9 +19,9 @@
     private val sizes =
         listOf(
             Size(1, 3, 2, 3_600_000),
-            Size(3, 5, 2, 1_200_000),
-            Size(3, 15, 2, 300_000),
-            Size(7, 51, 25, 60_000),
+            Size(3, 15, 2, 1_200_000),
+            Size(3, 45, 2, 300_000),
+            Size(7, 360, 25, 60_000),
         )
 
     fun run(
@@ -29,8 +29,7 @@
         out: (String) -> Unit,
     ) {
         for (size in sizes) {
-            val count = size.domains * size.perDomain
-            out("members nodes=$count domains=${size.domains} pools=${size.pools} seed=$seed")
+            out("members nodes=${size.instances} domains=${size.domains} pools=${size.pools} seed=$seed")
             traffic(size, seed, out)
             detection(size, seed, out)
             falsePositives(size, seed, out)
@@ -42,7 +41,7 @@
         seed: Long,
         out: (String) -> Unit,
     ) {
-        val fleet = SyncFleet(seed, size.domains, size.perDomain, size.pools)
+        val fleet = SyncFleet(seed, size.domains, size.instances, size.pools)
         fleet.run(WARM_UP_MS)
         fleet.resetCounts()
         val cpu = ManagementFactory.getThreadMXBean()
@@ -74,10 +73,12 @@
         out: (String) -> Unit,
     ) {
         val times = mapOf(MemberHealth.SUSPECTED to mutableListOf<Long>(), MemberHealth.DEAD to mutableListOf())
+        var expected = 0
         for (round in 1..ROUNDS) {
-            val fleet = SyncFleet(seed + round, size.domains, size.perDomain, size.pools)
+            val fleet = SyncFleet(seed + round, size.domains, size.instances, size.pools)
             fleet.run(WARM_UP_MS)
             val killed = fleet.nodes.values.last { it.isCoordinator == (round % 2 == 0) }
+            expected += fleet.observersOf(killed)
             killed.isUp = false
             val atMs = fleet.timer.nowMs()
             fleet.run(DETECTION_MS)
@@ -87,7 +88,6 @@
         }
         for ((health, ms) in times) {
             val sorted = ms.sorted()
-            val expected = ROUNDS * (size.perDomain - 1)
             out(
                 "  detection health=$health seen=${sorted.size} of=$expected" +
                     " p50_ms=${sorted.getOrNull(sorted.size / 2)} max_ms=${sorted.lastOrNull()}",
@@ -100,12 +100,12 @@
         seed: Long,
         out: (String) -> Unit,
     ) {
-        val fleet = SyncFleet(seed, size.domains, size.perDomain, size.pools)
+        val fleet = SyncFleet(seed, size.domains, size.instances, size.pools)
         fleet.run(WARM_UP_MS)
         fleet.loss = LOSS
         val fromMs = fleet.timer.nowMs()
         fleet.run(size.lossMs)
-        val pairs = size.domains * size.perDomain * (size.perDomain - 1)
+        val pairs = fleet.nodes.values.sumOf { fleet.observersOf(it) }
         val hours = pairs * size.lossMs / 3_600_000.0
         for (health in listOf(MemberHealth.SUSPECTED, MemberHealth.DEAD)) {
             val count = fleet.healthChanges.count { it.atMs > fromMs && it.health == health }
--- a/bench/src/main/kotlin/samphirechute/bench/sync/SyncFleet.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/sync/SyncFleet.kt
@@ -29,7 +29,7 @@
 internal class SyncFleet(
     seed: Long,
     domains: Int,
-    perDomain: Int,
+    instances: Int,
     private val pools: Int,
 ) {
     private val random = Random(seed)
@@ -40,8 +40,10 @@
 
     init {
         val peers =
-            (1..domains).flatMap { domain ->
-                (1..perDomain).map { SyncPeer(InstanceId("tn-$domain-$it"), FailureDomain("tn-$domain"), it == 1) }
+            (0 until instances).map {
+                val domain = 1 + it % domains
+                val number = 1 + it / domains
+                SyncPeer(InstanceId("tn-$domain-$number"), FailureDomain("tn-$domain"), number == 1)
             }
         nodes = peers.associate { it.instance to Node(it, peers) }
         nodes.values.forEach { it.start() }
@@ -51,6 +53,8 @@
 
     fun resetCounts() = nodes.values.forEach { it.resetCounts() }
 
+    fun observersOf(node: Node) = nodes.values.count { it != node && it.self.failureDomain == node.self.failureDomain }
+
     /** A member whose health changed, as [observer] sees it. */
     class HealthChange(
         val atMs: Long,
@@ -60,7 +64,7 @@
     )
 
     inner class Node(
-        private val self: SyncPeer,
+        val self: SyncPeer,
         peers: List<SyncPeer>,
     ) {
         val id get() = self.instance
--- a/state/src/main/kotlin/samphirechute/state/sync/DigestTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/DigestTable.kt
@@ -8,9 +8,6 @@
 internal class DigestTable {
     private val entries = TreeMap<FailureDomain, Entry>()
 
-    /** Versions of the digests that are fresh. */
-    val versions: Map<FailureDomain, DigestVersion> get() = entries.mapValues { it.value.digest.version }
-
     val coordinators: Set<InstanceId> get() = entries.values.mapTo(mutableSetOf()) { it.digest.coordinator }
 
     /** Returns true when [digest] is newer than the one known. */
@@ -28,6 +25,12 @@
     /** Drops what is no longer fresh; true when something was dropped. */
     fun expire(nowMs: Long): Boolean = entries.values.removeIf { nowMs - it.bornMs >= DIGEST_FRESH_MS }
 
+    fun isOlderThan(
+        failureDomain: FailureDomain,
+        ageMs: Long,
+        nowMs: Long,
+    ): Boolean = entries[failureDomain]?.let { nowMs - it.bornMs >= ageMs } != false
+
     fun get(failureDomain: FailureDomain): DomainDigest? = entries[failureDomain]?.digest
 
     /** The digests with their age now. */
--- a/state/src/main/kotlin/samphirechute/state/sync/DomainDigest.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/DomainDigest.kt
@@ -23,10 +23,9 @@
 }
 
 /** Orders the digests of one failure domain. */
-@Serializable
-data class DigestVersion(
-    @SerialName("e") val epoch: Long = 0,
-    @SerialName("s") val sequence: Long = 0,
+internal data class DigestVersion(
+    val epoch: Long,
+    val sequence: Long,
 ) : Comparable<DigestVersion> {
     override fun compareTo(other: DigestVersion) = compareValuesBy(this, other, { it.epoch }, { it.sequence })
 }
--- a/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
@@ -48,9 +48,13 @@
     /** The sender part of its latest message. */
     var known: SyncSender? = null
     var lastExchangeMs = Long.MIN_VALUE / 2
+    var heartbeatsMs = Long.MIN_VALUE / 2
     var askedMs: Long? = null
     var failures = 0
 
+    /** The own digest as it was last told to this peer. */
+    var toldDigest: DigestVersion? = null
+
     /** How many more peers are asked in place of this one when it does not answer. */
     var substitutesLeft = 0
 
@@ -84,6 +88,7 @@
         if (latest == null || sender.incarnation > latest.incarnation) {
             grantsHeartbeat = 0
             told.clear()
+            toldDigest = null
         }
         known = sender
         return true
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncExchange.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncExchange.kt
@@ -80,10 +80,11 @@
     ) {
         val held = heldGrantsFor(peer)
         if (held != null) state.beat()
-        var data = state.lackedBy(peer, nowMs, withDigests = false)
+        var data = state.lackedBy(peer, nowMs)
         if (isCoordinator) data = data.copy(digests = state.ownDigestFor(peer, nowMs))
+        if (peer.isHome) data = data.copy(heartbeats = state.heartbeatsFor(peer, nowMs))
         peer.askedMs = nowMs
-        val message = SyncMessage.Ask(state.sender(), data, held)
+        val message = SyncMessage.Ask(state.sender(), data, held, state.wantedDigests(peer, coordinator, nowMs))
         peer.noteTold(state.rowsOf(message))
         outputs += SyncOutput.Send(peer.instance, message)
     }
@@ -110,7 +111,7 @@
     ) {
         for (peer in targets) {
             pushed += peer
-            val data = state.lackedBy(peer, nowMs, withDigests = false).copy(heartbeats = emptyMap())
+            val data = state.lackedBy(peer, nowMs)
             if (data == SyncData()) continue
             outputs += SyncOutput.Send(peer.instance, SyncMessage.Push(state.sender(), data))
         }
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncMessage.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncMessage.kt
@@ -16,7 +16,8 @@
 
     /**
      * Tells the versions of the sender and asks for what it lacks. [grants] are all those it holds of the receiver as
-     * coordinator; null when the message does not tell them.
+     * coordinator; null when the message does not tell them. [wantedDigests] are the failure domains whose digest the
+     * sender lacks or will soon; digests change all the time, so their versions in each message would cost more.
      */
     @Serializable
     @SerialName("ask")
@@ -24,6 +25,7 @@
         @SerialName("s") override val sender: SyncSender,
         @SerialName("d") override val data: SyncData = SyncData(),
         @SerialName("h") val grants: HeldGrants? = null,
+        @SerialName("w") val wantedDigests: List<FailureDomain> = emptyList(),
     ) : SyncMessage()
 
     /** Answers [Ask] with what its sender lacks. */
@@ -59,7 +61,6 @@
     @SerialName("d") val drainVersion: Long = 0,
     @SerialName("o") val overlayHash: Int = 0,
     @SerialName("m") val memberHash: Int = 0,
-    @SerialName("g") val digests: Map<FailureDomain, DigestVersion> = emptyMap(),
     @SerialName("l") val isLeaving: Boolean = false,
     /** True on a store member whose copy of the log is up to date. */
     @SerialName("k") val isStoreCurrent: Boolean = false,
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
@@ -149,7 +149,8 @@
             peer.grantsHeartbeat = ask.sender.heartbeat
             outputs += SyncOutput.GrantsHeld(peer.instance, held.payload)
         }
-        val data = state.lackedBy(peer, nowMs, withDigests = true)
+        var data = state.lackedBy(peer, nowMs, ask.wantedDigests)
+        if (peer.isHome) data = data.copy(heartbeats = state.heartbeatsFor(peer, nowMs))
         val reply = SyncMessage.Reply(state.sender(), data)
         peer.noteTold(state.rowsOf(reply))
         outputs += SyncOutput.Answer(reply)
@@ -170,7 +171,7 @@
         peer.failures = 0
         val isCaughtUp = state.configuration.revision >= reply.sender.revision
         readiness.onAnswer(peer.instance, isCaughtUp && (reply.sender.revision > 0 || reply.sender.isStoreCurrent))
-        val lacked = state.lackedBy(peer, nowMs, withDigests = false).copy(heartbeats = emptyMap())
+        val lacked = state.lackedBy(peer, nowMs)
         if (lacked != SyncData()) outputs += SyncOutput.Send(peer.instance, SyncMessage.Push(state.sender(), lacked))
     }
 
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncState.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncState.kt
@@ -1,5 +1,6 @@
 package samphirechute.state.sync
 
+import samphirechute.core.FailureDomain
 import samphirechute.core.InstanceId
 import samphirechute.state.drain.DrainInput
 import samphirechute.state.drain.DrainOutput
@@ -15,6 +16,7 @@
     val digests = DigestTable()
     var isLeaving = false
     var isStoreCurrent = false
+    private val failureDomains = settings.peers.mapTo(sortedSetOf()) { it.failureDomain }
     private var heartbeat = 0L
 
     fun sender() =
@@ -26,7 +28,6 @@
             drainVersion = drains.record.version,
             overlayHash = drains.entriesHash,
             memberHash = members.hash,
-            digests = digests.versions,
             isLeaving = isLeaving,
             isStoreCurrent = isStoreCurrent,
         )
@@ -43,11 +44,11 @@
             MemberRow(settings.incarnation, heartbeat, configuration.revision, isLeaving),
         )
 
-    /** What [peer] lacks, judging by its latest message. Digests go into replies, and as relays only where asked for. */
+    /** What [peer] lacks, judging by its latest message, and the digests that it wants. */
     fun lackedBy(
         peer: PeerState,
         nowMs: Long,
-        withDigests: Boolean,
+        wantedDigests: Collection<FailureDomain> = emptyList(),
     ): SyncData {
         val known = peer.known ?: return SyncData()
         val isOwnDomain = peer.peer.failureDomain == settings.failureDomain
@@ -57,19 +58,30 @@
             drains = drains.record.takeIf { it.version > known.drainVersion },
             overlay = if (known.overlayHash == drains.entriesHash) emptyList() else drains.entries.toList(),
             members = if (isOwnDomain && !isSameTable) members.rows else emptyMap(),
-            heartbeats = if (isOwnDomain && isSameTable) newHeartbeats(peer) else emptyMap(),
-            digests = if (withDigests) digests.all(nowMs).filter { it.isNewerThan(known) } else emptyList(),
+            digests = digests.all(nowMs).filter { it.failureDomain in wantedDigests },
         )
     }
 
+    /** The own digest, unless [peer] was already told it. */
     fun ownDigestFor(
         peer: PeerState,
         nowMs: Long,
     ): List<DomainDigest> {
-        val known = peer.known
-        return digests
-            .all(nowMs)
-            .filter { it.failureDomain == settings.failureDomain && (known == null || it.isNewerThan(known)) }
+        val own = digests.all(nowMs).filter { it.failureDomain == settings.failureDomain }
+        return own.filter { it.version != peer.toldDigest }.onEach { peer.toldDigest = it.version }
+    }
+
+    /** The failure domains whose digest to ask [peer] for. A coordinator always has the newest one of its own. */
+    fun wantedDigests(
+        peer: PeerState,
+        coordinator: InstanceId?,
+        nowMs: Long,
+    ): List<FailureDomain> {
+        val ageMs = if (peer.instance == coordinator) DIGEST_REFRESH_MS else DIGEST_RELAY_MS
+        return failureDomains.filter {
+            val isSource = coordinator == settings.self && digests.get(it)?.coordinator == peer.instance
+            (it != settings.failureDomain && isSource) || digests.isOlderThan(it, ageMs, nowMs)
+        }
     }
 
     /** Takes in what another instance told. Returns the outputs, and whether it was news to pass on. */
@@ -114,10 +126,19 @@
             .mapValues { (id, it) -> rows.getValue(id).copy(heartbeat = it) }
     }
 
-    private fun newHeartbeats(peer: PeerState) =
-        members.rows
+    /** The heartbeats that [peer] does not know; those of a large table less often, to keep within the traffic bound. */
+    fun heartbeatsFor(
+        peer: PeerState,
+        nowMs: Long,
+    ): Map<InstanceId, Long> {
+        val rows = members.rows
+        val isDue = nowMs - peer.heartbeatsMs >= rows.size * HEARTBEAT_MS_PER_ROW
+        if (peer.known?.memberHash != members.hash || !isDue) return emptyMap()
+        peer.heartbeatsMs = nowMs
+        return rows
             .filter { (id, row) -> id != settings.self && id != peer.instance && peer.isNewTo(id, row) }
             .mapValues { it.value.heartbeat }
+    }
 }
 
 internal class Absorbed(
@@ -132,6 +153,3 @@
         is DrainOutput.UndrainSettled -> SyncOutput.UndrainSettled(this)
         DrainOutput.Spread -> null
     }
-
-private fun DomainDigest.isNewerThan(known: SyncSender) =
-    known.digests[failureDomain].let { it == null || version > it }
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncTimes.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncTimes.kt
@@ -13,6 +13,16 @@
 internal const val READINESS_WAIT_MS = 3_000L
 
 const val DIGEST_FRESH_MS = 3_000L
+
+/** A member asks its coordinator for digests of this age, which leaves time for two lost exchanges. */
+internal const val DIGEST_REFRESH_MS = 1_250L
+
+/** Other peers are asked for a digest only when the coordinator has failed to give it. */
+internal const val DIGEST_RELAY_MS = 2_000L
+
+/** With 50 members their heartbeats go to each member once a second, which is about 0.8 KB. */
+internal const val HEARTBEAT_MS_PER_ROW = 20L
+
 const val SUSPECTED_MS = 3_000L
 const val DEAD_MS = 6_000L
 
