--- a/cli/src/main/kotlin/samphirechute/cli/CliError.kt
+++ b/cli/src/main/kotlin/samphirechute/cli/CliError.kt
@@ -19,7 +19,7 @@
 
     class Unreachable(
         detail: String,
-    ) : CliError(ExitCode.UNREACHABLE, "no server could be reached: $detail")
+    ) : CliError(ExitCode.UNREACHABLE, "no server answered: $detail")
 
     class Denied(
         server: String,
--- a/cli/src/main/kotlin/samphirechute/cli/http/Servers.kt
+++ b/cli/src/main/kotlin/samphirechute/cli/http/Servers.kt
@@ -71,7 +71,7 @@
                     }
 
                     is Reply.Lost -> {
-                        last = CliError.Unreachable("$address: ${reply.failure.message}")
+                        last = lost(address, reply.failure)
                         mayHaveChanged = mayHaveChanged || reply.failure.mayHaveArrived
                     }
                 }
@@ -96,6 +96,14 @@
         if (!isQuiet) context.err.println(text)
     }
 
+    private fun lost(
+        address: HostPort,
+        failure: CallFailure,
+    ): CliError {
+        val message = "$address: ${failure.message}"
+        return if (failure.mayHaveArrived) CliError.UnknownOutcome(message) else CliError.Unreachable(message)
+    }
+
     private fun outcome(
         mayHaveChanged: Boolean,
         last: CliError,
@@ -105,8 +113,8 @@
         const val FIRST_PAUSE_MS = 200L
         const val LONGEST_PAUSE_MS = 2_000L
 
-        /** One silent server may not use up the time for the others. */
-        const val ATTEMPT_MS = 5_000L
+        /** A server answers within 5 s whether it decided; a silent one may not use up the time for the others. */
+        const val ATTEMPT_MS = 7_000L
     }
 }
 
--- a/daemon/src/main/kotlin/samphirechute/daemon/http/RequestError.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/http/RequestError.kt
@@ -56,9 +56,16 @@
         val reason: String,
     ) : RequestError(503, "not_ready", "this instance takes no requests: $reason", retryAfterMs = NOT_READY_RETRY_MS)
 
-    data class Unavailable(
-        val problem: String,
-    ) : RequestError(503, "unavailable", problem, retryAfterMs = NOT_READY_RETRY_MS)
+    /** The store has not decided on an operator's change. It may still do so when [mayBeCommitted]. */
+    data class Undecided(
+        val mayBeCommitted: Boolean,
+    ) : RequestError(
+            503,
+            "undecided",
+            "no quorum of the store answered" + if (mayBeCommitted) "; the change may take effect later" else "",
+            if (mayBeCommitted) RunState.UNKNOWN else RunState.NOT_RUN,
+            retryAfterMs = NOT_READY_RETRY_MS,
+        )
 
     /** A request that was admitted and did not give a whole answer, or was refused by the decisions of the request path. */
     data class Ended(
--- a/daemon/src/main/kotlin/samphirechute/daemon/operator/OperatorApi.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/operator/OperatorApi.kt
@@ -19,6 +19,7 @@
 import samphirechute.core.api.StatusView
 import samphirechute.core.api.TimelineView
 import samphirechute.core.api.UpstreamsView
+import samphirechute.core.service.ServiceRules
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.controller.DrainController
 import samphirechute.daemon.controller.StoreClient
@@ -57,11 +58,17 @@
         exchange: Exchange,
         request: PublishRequest,
     ) {
+        val problems = ServiceRules.problems(request.services)
+        if (problems.isNotEmpty()) {
+            val message = problems.joinToString("; ")
+            val reply = PublishReply(PublishOutcome.REJECTED, views.status().revision, message = message)
+            return answer(exchange, PublishReply.serializer(), reply)
+        }
         val command = Command.PublishConfig(request.operationId, request.baseRevision, request.services)
         store.propose(command, CHANGE_TIMEOUT_MS) { result ->
             when (result) {
                 is StoreResult.Committed -> publishReply(exchange, result.result)
-                is StoreResult.Unavailable -> unavailable(exchange)
+                is StoreResult.Unavailable -> exchange.refuse(RequestError.Undecided(result.mayBeCommitted))
             }
         }
     }
@@ -99,7 +106,7 @@
     ) {
         drains.order(request.operationId, request.target(), request.isDrained) { version ->
             if (version == null && !request.isDrained) {
-                unavailable(exchange)
+                exchange.refuse(RequestError.Undecided(mayBeCommitted = true))
             } else {
                 answer(exchange, DrainReply.serializer(), DrainReply(version != null, version))
             }
@@ -111,9 +118,6 @@
         answer(exchange, TimelineView.serializer(), TimelineView(runtime.self, runtime.ring.events(requestId)))
     }
 
-    private fun unavailable(exchange: Exchange) =
-        exchange.refuse(RequestError.Unavailable("no quorum of the store answered; the change may take effect later"))
-
     private fun <T> read(
         exchange: Exchange,
         serializer: KSerializer<T>,
