Do not take a slow caller for a silent upstream, and test what ends an attempt

Cause: while a slow caller pauses the answer, no token arrives; the first tick after the pause could end the attempt as silent. Change: FlowInput.ReadingResumed restarts the silence limit. A table covers what ends an attempt, and a crossed engine of the matrix sends other tokens.

--- a/routing/src/main/kotlin/samphirechute/routing/flow/FlowInput.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/FlowInput.kt
@@ -57,6 +57,9 @@
 
     data object CallerGone : FlowInput()
 
+    /** The answer is read again after a pause for a slow caller; the pause is no silence of the upstream. */
+    data object ReadingResumed : FlowInput()
+
     data object Ticked : FlowInput()
 }
 
--- a/routing/src/main/kotlin/samphirechute/routing/flow/FlowTimes.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/FlowTimes.kt
@@ -23,6 +23,12 @@
 
     fun latestGrantMs(nextOffset: Long) = request.deadlineMs - leastRunMs(nextOffset)
 
+    /** When to ask again after an answer that named a time to wait. */
+    fun askAgainMs(
+        retryAfterMs: Long,
+        nowMs: Long,
+    ) = nowMs + retryAfterMs.coerceIn(SHORTEST_WAIT_MS, LONGEST_WAIT_MS)
+
     /** What has fallen due in [state]; null when nothing has. */
     fun expired(
         state: FlowState,
@@ -110,4 +116,9 @@
         grant: Grant,
         nextOffset: Long,
     ) = ((request.expectedTokens - nextOffset - 1).coerceAtLeast(0) * grant.expectedTokenMs).toLong()
+
+    private companion object {
+        const val SHORTEST_WAIT_MS = 50L
+        const val LONGEST_WAIT_MS = 1_000L
+    }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/flow/RequestFlow.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/RequestFlow.kt
@@ -51,6 +51,7 @@
             is FlowInput.AttemptFailed -> attemptFailed(input, nowMs)
             is FlowInput.OutcomeRecorded -> (state as? FlowState.Recording)?.let { finish(it.outcome) }
             FlowInput.CallerGone -> if (!request.runsOnWithoutCaller) stop(FlowCode.CALLER_GONE, "the caller left")
+            FlowInput.ReadingResumed -> readingResumed(nowMs)
             FlowInput.Ticked -> ticked(nowMs)
         }
         return out
@@ -75,7 +76,7 @@
         if (!isAwaited) return
         when (claimAnswer) {
             ClaimAnswer.Accepted -> askGrant(FIRST_ATTEMPT, nowMs)
-            is ClaimAnswer.InProgress -> state = FlowState.Claiming(nowMs + clampedWait(claimAnswer.retryAfterMs))
+            is ClaimAnswer.InProgress -> state = FlowState.Claiming(times.askAgainMs(claimAnswer.retryAfterMs, nowMs))
             else -> finish(claimAnswer.toOutcome())
         }
     }
@@ -122,7 +123,7 @@
         val waiting = state as? FlowState.AwaitingGrant ?: return
         if (waiting.attempt != refusal.attempt || waiting.askAgainMs != null) return
         health.chose(request.id, null)
-        val againMs = nowMs + clampedWait(refusal.retryAfterMs)
+        val againMs = times.askAgainMs(refusal.retryAfterMs, nowMs)
         val isWorthWaiting = waiting.attempt > FIRST_ATTEMPT && refusal.reason in PASSING_REASONS
         if (isWorthWaiting && againMs <= times.latestGrantMs(answer.nextOffset)) {
             state = waiting.copy(askAgainMs = againMs)
@@ -155,6 +156,11 @@
         state = FlowState.Streaming(attempt, answer.nextOffset)
     }
 
+    private fun readingResumed(nowMs: Long) {
+        val current = state as? FlowState.Streaming ?: return
+        state = current.copy(attempt = current.attempt.copy(lastActiveMs = nowMs))
+    }
+
     private fun answerEnded(
         end: FlowInput.AnswerEnded,
         nowMs: Long,
@@ -283,14 +289,10 @@
 
     private fun current(number: Int) = attempt()?.takeIf { it.number == number }
 
-    private fun clampedWait(waitMs: Long) = waitMs.coerceIn(SHORTEST_WAIT_MS, LONGEST_WAIT_MS)
-
     private companion object {
         const val FIRST_ATTEMPT = 1
         const val MAX_ATTEMPTS = 4
         const val RETRY_AFTER_MS = 1_000L
-        const val SHORTEST_WAIT_MS = 50L
-        const val LONGEST_WAIT_MS = 1_000L
 
         /** Refusals that end by themselves: a new coordinator is elected, the queue drains. */
         val PASSING_REASONS = setOf(RefusalReason.NOT_COORDINATOR, RefusalReason.QUEUE_FULL)
--- a/routing/src/test/kotlin/samphirechute/routing/flow/RequestFlowSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/RequestFlowSpec.kt
@@ -1,15 +1,10 @@
 package samphirechute.routing.flow
 
 import org.junit.jupiter.api.Nested
-import samphirechute.core.HostPort
-import samphirechute.core.InstanceId
 import samphirechute.core.RequestId
 import samphirechute.core.RunState
 import samphirechute.core.UpstreamId
-import samphirechute.routing.Grant
 import samphirechute.routing.GrantEnding
-import samphirechute.routing.GrantKey
-import samphirechute.routing.GrantPart
 import samphirechute.routing.GrantResult
 import samphirechute.routing.RefusalReason
 import kotlin.test.Test
@@ -18,49 +13,7 @@
 import kotlin.test.assertTrue
 
 /** What the fault matrix does not look at: times, retries across requests, and what the ledger is told. */
-class RequestFlowSpec {
-    private val budget = RetryBudget()
-    private val health = UpstreamHealth()
-
-    private fun flow(
-        isNonRepeatable: Boolean = false,
-        id: String = "r1",
-        deadlineMs: Long = 60_000,
-        tokens: Long = 10,
-    ) = RequestFlow(FlowRequest(RequestId(id), deadlineMs, isNonRepeatable, isNonRepeatable, tokens), budget, health)
-
-    private fun grant(
-        attempt: Int,
-        upstream: String = "e$attempt",
-        firstMs: Long = 200,
-        tokenMs: Double = 10.0,
-    ): Grant {
-        val part = GrantPart(UpstreamId(upstream), 1, HostPort("127.0.0.1", 1), memoryTokens = 10, prefillTokens = 10)
-        val key = GrantKey(InstanceId("i1"), RequestId("r1"), attempt)
-        return Grant(key, 1, listOf(part), expectedFirstTokenMs = firstMs, expectedTokenMs = tokenMs)
-    }
-
-    private fun tokens(
-        attempt: Int,
-        offset: Long,
-        count: Int = 1,
-    ) = FlowInput.TokensArrived(attempt, "r1", offset, List(count) { "t${offset + it}" })
-
-    private fun RequestFlow.feed(vararg inputs: Pair<Long, FlowInput>): List<FlowOutput> =
-        inputs.map { (atMs, input) -> handle(input, atMs) }.last()
-
-    /** A flow whose first attempt was sent at 0. */
-    private fun sent(
-        flow: RequestFlow = flow(),
-        grant: Grant = grant(1),
-    ) = flow.apply {
-        feed(0L to FlowInput.Started)
-        if (state is FlowState.Claiming) feed(0L to FlowInput.ClaimAnswered(ClaimAnswer.Accepted))
-        feed(0L to FlowInput.Granted(grant), 0L to FlowInput.BytesSent(1))
-    }
-
-    private fun outcome(outputs: List<FlowOutput>) = outputs.filterIsInstance<FlowOutput.Finish>().single().outcome
-
+class RequestFlowSpec : FlowFixture() {
     @Nested
     inner class Silence {
         /** Guards against limits that ignore the expected times, or that cut off requests that no retry can follow. */
@@ -88,6 +41,14 @@
             }
         }
 
+        /** Guards against an upstream that is taken for silent because its caller reads slowly. */
+        @Test
+        fun `begins anew when reading resumes after a pause for a slow caller`() {
+            val flow = sent().apply { feed(300L to tokens(1, 0), 9_000L to FlowInput.ReadingResumed) }
+            assertEquals(10_200, flow.nextDueMs)
+            assertEquals(emptyList(), flow.handle(FlowInput.Ticked, 9_000))
+        }
+
         /** Guards against a late answer that is delivered, or that keeps an engine busy after its cancel was lost. */
         @Test
         fun `late tokens of an abandoned attempt are dropped and it is cancelled once more`() {
@@ -98,6 +59,30 @@
         }
     }
 
+    @Nested
+    inner class WholeAnswers {
+        /** Guards against an answer with a hole, a missing end, or tokens of another request. */
+        @Test
+        fun `an attempt ends at anything that does not continue the answer`() {
+            val rows =
+                listOf(
+                    "gap" to tokens(1, 4),
+                    "token of another request" to tokens(1, 3).copy(requestId = "r2"),
+                    "end of another request" to FlowInput.AnswerEnded(1, "r2", 3),
+                    "missing end" to FlowInput.AnswerEnded(1, "r1", 5),
+                    "end before what was delivered" to FlowInput.AnswerEnded(1, "r1", 2),
+                )
+            for ((name, input) in rows) {
+                val flow = sent().apply { feed(250L to tokens(1, 0, 3)) }
+                val outputs = flow.handle(input, 260)
+                val released = outputs.filterIsInstance<FlowOutput.ReleaseGrant>().single().result
+                assertEquals(GrantEnding.FAILED to 3L, released.ending to released.generatedTokens, name)
+                assertTrue(outputs.none { it is FlowOutput.Deliver || it is FlowOutput.Finish }, name)
+                assertIs<FlowState.AwaitingGrant>(flow.state, name)
+            }
+        }
+    }
+
     @Nested
     inner class Retries {
         /** Guards against retries that reuse a connection or an upstream that may be silent. */
@@ -187,87 +172,6 @@
         }
     }
 
-    @Nested
-    inner class Claims {
-        /** Guards against "not run" for a request that another instance is running. */
-        @Test
-        fun `a request that runs elsewhere is waited for until the deadline and is never called not run`() {
-            val flow = flow(isNonRepeatable = true, deadlineMs = 500).apply { feed(0L to FlowInput.Started) }
-            assertEquals(emptyList(), flow.handle(FlowInput.ClaimAnswered(ClaimAnswer.InProgress(200)), 10))
-            assertEquals(listOf<FlowOutput>(FlowOutput.AskClaim), flow.handle(FlowInput.Ticked, 210))
-            flow.handle(FlowInput.ClaimAnswered(ClaimAnswer.InProgress(5_000)), 220)
-            val outputs = flow.handle(FlowInput.Ticked, 500)
-            assertEquals(RunState.UNKNOWN to FlowCode.IN_PROGRESS, outcome(outputs).let { it.runState to it.code })
-            assertTrue(FlowOutput.ReleaseClaim !in outputs)
-        }
-
-        /** Guards against a claim that blocks every resend although its request was never sent. */
-        @Test
-        fun `a claim that may have been committed is released, again when it is accepted late`() {
-            val flow = flow(isNonRepeatable = true).apply { feed(0L to FlowInput.Started) }
-            val unavailable = ClaimAnswer.Unavailable(mayBeCommitted = true, retryAfterMs = 100)
-            val outputs = flow.handle(FlowInput.ClaimAnswered(unavailable), 300)
-            assertEquals(FlowCode.STORE_UNAVAILABLE, outcome(outputs).code)
-            assertTrue(FlowOutput.ReleaseClaim in outputs)
-            val late = flow.handle(FlowInput.ClaimAnswered(ClaimAnswer.Accepted), 400)
-            assertEquals(listOf<FlowOutput>(FlowOutput.ReleaseClaim), late)
-        }
-
-        /** Guards against "not run" on the word of a refusal that was meant for another request, or came too late. */
-        @Test
-        fun `a refusal proves that nothing ran only when it names the request and comes before any token`() {
-            val refused = FlowInput.AttemptFailed(1, AttemptFailure.REFUSED, "r1")
-            val rows =
-                listOf(
-                    listOf(refused) to RunState.NOT_RUN,
-                    listOf(refused.copy(requestId = "r2")) to RunState.UNKNOWN,
-                    listOf(refused.copy(requestId = null)) to RunState.UNKNOWN,
-                    listOf(tokens(1, 0), refused) to RunState.UNKNOWN,
-                )
-            for ((inputs, expected) in rows) {
-                val flow = sent(flow(isNonRepeatable = true))
-                val outputs = inputs.map { flow.handle(it, 100) }.last()
-                assertEquals(expected, outcome(outputs).runState, "$inputs")
-                val settled =
-                    outputs.any { it == FlowOutput.ReleaseClaim } to outputs.any { it is FlowOutput.RecordOutcome }
-                assertEquals((expected == RunState.NOT_RUN) to (expected == RunState.UNKNOWN), settled, "$inputs")
-            }
-        }
-
-        /** Guards against "not run" when the flow hears of the first byte only at the deadline. */
-        @Test
-        fun `bytes sent count even when they are reported at the deadline`() {
-            val flow = flow(isNonRepeatable = true).apply { feed(0L to FlowInput.Started) }
-            flow.feed(1L to FlowInput.ClaimAnswered(ClaimAnswer.Accepted), 2L to FlowInput.Granted(grant(1)))
-            assertEquals(RunState.UNKNOWN, outcome(flow.handle(FlowInput.BytesSent(1), 60_000)).runState)
-        }
-
-        /** Guards against a resend that finds no answer although the caller has got one. */
-        @Test
-        fun `the outcome is recorded before the request ends, and the caller is told by its deadline in any case`() {
-            for (end in listOf(FlowInput.OutcomeRecorded(true), FlowInput.OutcomeRecorded(false), FlowInput.Ticked)) {
-                val flow = sent(flow(isNonRepeatable = true)).apply { feed(100L to tokens(1, 0)) }
-                val ended = flow.handle(FlowInput.AnswerEnded(1, "r1", 1), 110)
-                assertIs<FlowOutput.RecordOutcome>(ended.last())
-                assertEquals(
-                    RunState.RAN,
-                    outcome(
-                        flow.handle(
-                            end,
-                            if (end ==
-                                FlowInput.Ticked
-                            ) {
-                                60_000
-                            } else {
-                                120
-                            },
-                        ),
-                    ).runState,
-                )
-            }
-        }
-    }
-
     @Nested
     inner class Results {
         /** Guards against a ledger that learns wrong times, or nothing of what a resumed attempt generated. */
--- a/routing/src/test/kotlin/samphirechute/routing/flow/matrix/EngineRun.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/EngineRun.kt
@@ -66,10 +66,12 @@
             engine.held -= key
             return answer { FlowInput.AnswerEnded(dispatch.attempt, answeredId(), offset) }
         }
-        answer { FlowInput.TokensArrived(dispatch.attempt, answeredId(), offset, listOf(answerToken(offset))) }
+        answer { FlowInput.TokensArrived(dispatch.attempt, answeredId(), offset, listOf(answeredToken(offset))) }
         world.timer.after(profile.tokenMs * engine.slowdown) { generate(offset + 1) }
     }
 
+    private fun answeredToken(offset: Long) = if (engine.isCrossed) "other$offset" else answerToken(offset)
+
     private fun answeredId() = if (engine.isCrossed) "other" else key.requestId.value
 
     private fun answer(input: () -> FlowInput) {
