--- a/bench/src/main/kotlin/samphirechute/bench/routing/SimRequest.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/routing/SimRequest.kt
@@ -66,7 +66,11 @@
     )
 
     /** The same request, not run yet. */
-    fun fresh() = SimRequest(index, atMs, team, promptTokens, answerTokens, firstTokenMs, deadlineMs, prefix, urgency)
+    fun fresh() = numbered(index)
+
+    /** The same request, not run yet, under another number. */
+    fun numbered(number: Int) =
+        SimRequest(number, atMs, team, promptTokens, answerTokens, firstTokenMs, deadlineMs, prefix, urgency)
 
     companion object {
         const val INSTANCES = 15
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/Admission.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/Admission.kt
@@ -26,14 +26,21 @@
     ): Refusal? {
         val any = pool.upstreams.firstOrNull() ?: return null
         if (kind == RequestKind.GANG) {
-            val memory = pool.upstreams.sumOf { if (it.isUsable(nowMs)) it.report.capacity.memoryTokens else 0L }
-            if (waiting.memoryTokens > memory) return Refusal(RefusalReason.TOO_LARGE, TOO_LARGE_RETRY_MS)
+            if (waiting.memoryTokens >
+                pool.summary(nowMs).usableMemory
+            ) {
+                return Refusal(RefusalReason.TOO_LARGE, TOO_LARGE_RETRY_MS)
+            }
             return late(pool, waiting, pool.choices.leastPrefillMs(waiting, nowMs), any, nowMs)
         }
         val line = pool.line(kind) ?: return null
         val waitMs = line.queue.tokensAhead(waiting) / rate(pool, kind, nowMs)
         val prefillMs = pool.choices.leastPrefillMs(waiting, nowMs)
-        late(pool, waiting, waitMs * WAIT_MARGIN + prefillMs, any, nowMs)?.let { return it }
+        // All short prompts face the same bound on the wait. With their own prefill instead, the queue would settle
+        // where only the shortest are admitted, and every other prompt would be refused under overload.
+        val commonMs = minOf(any.prefillMs(limits.longPromptTokens), remaining(waiting, nowMs) / 2)
+        val reservedMs = if (kind == RequestKind.SHORT && any.isEngine) maxOf(prefillMs, commonMs) else prefillMs
+        late(pool, waiting, waitMs * WAIT_MARGIN + reservedMs, any, nowMs)?.let { return it }
         val excess = line.queue.tokens + waiting.costTokens - rate(pool, kind, nowMs) * limits.maxQueueMs
         if (excess <= 0 || line.queue.isEmpty) return null
         return Refusal(RefusalReason.QUEUE_FULL, retry(excess / rate(pool, kind, nowMs)))
@@ -84,7 +91,7 @@
         kind: RequestKind,
         nowMs: Long,
     ): Double {
-        val stated = pool.statedRate(nowMs)
+        val stated = pool.summary(nowMs).tokensPerMs
         val line = pool.line(kind) ?: return stated
         val engines = pool.upstreams.size.coerceAtLeast(1)
         val part = if (kind == RequestKind.LONG) pool.share.maxEngines(engines).toDouble() / engines else 1.0
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/DomainLedger.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/DomainLedger.kt
@@ -149,6 +149,7 @@
         desk.isDomainDrained = input.isDomainDrained
         for (upstream in upstreams.values) {
             upstream.isDrained = desk.isDomainDrained || upstream.id in drained
+            intake.changed(upstream)
             intake.place(upstream, nowMs)
         }
         for (pool in pools.values) {
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/FairQueue.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/FairQueue.kt
@@ -34,22 +34,23 @@
 
     /**
      * Offers waiting requests in order to [tryGrant] until it takes one, at most [MAX_TRIES] of them: a request that
-     * none of the open upstreams may serve does not hold up the others. Returns false when none was taken.
+     * none of the open upstreams may serve does not hold up the others. Only a granted request is charged.
      */
-    fun offer(tryGrant: (Waiting) -> Boolean): Boolean {
+    fun offer(tryGrant: (Waiting) -> Offer): Offer {
         var tries = 0
         for (level in levels) {
             for (team in level.order) {
-                if (tries++ >= MAX_TRIES) return false
+                if (tries++ >= MAX_TRIES) return Offer.NO_ROOM
                 val waiting = team.requests.first()
-                if (!tryGrant(waiting)) continue
+                val offer = tryGrant(waiting)
+                if (offer == Offer.NO_ROOM) continue
                 places.remove(waiting.key)
                 level.remove(waiting.key, team)
-                level.charge(team, waiting)
-                return true
+                if (offer == Offer.GRANTED) level.charge(team, waiting)
+                return offer
             }
         }
-        return false
+        return Offer.NO_ROOM
     }
 
     /** The tokens served before a request of this team and cost, as the queue stands. */
@@ -58,17 +59,27 @@
         for (index in 0 until waiting.request.urgency.ordinal) ahead += levels[index].tokens
         val level = levels[waiting.request.urgency.ordinal]
         val own = level.teams[waiting.request.team]
-        val ownTokens = (own?.tokens ?: 0L) + waiting.costTokens
-        val isActive = own != null && own.requests.isNotEmpty()
-        val shares = level.shares + if (isActive) 0 else waiting.share
-        val fair = ownTokens.toDouble() * shares / waiting.share - waiting.costTokens
+        val ownTokens = own?.tokens ?: 0L
+        val fair = ownTokens.toDouble() * level.shares / waiting.share
         return ahead + minOf(level.tokens, fair.toLong())
     }
 
-    /** Moves requests up that have waited for a whole aging period in their class. */
+    /**
+     * Moves the next request of each class up by one if it has waited for an aging period in each class so far. Only
+     * the next one: a team that has flooded its class must not come before the other teams of it by waiting.
+     */
     fun age(nowMs: Long) {
         for (index in 1 until levels.size) {
-            for (team in levels[index].order.toList()) promote(team, index, nowMs)
+            val head =
+                levels[index]
+                    .order
+                    .firstOrNull()
+                    ?.requests
+                    ?.first() ?: continue
+            val periods = head.request.urgency.ordinal - index + 1
+            if (nowMs - head.askedMs < agingMs * periods) continue
+            remove(head.key)
+            insert(head, index - 1)
         }
     }
 
@@ -93,21 +104,6 @@
         return (team?.tokens ?: 0L) / waiting.share.toDouble()
     }
 
-    private fun promote(
-        team: TeamQueue,
-        index: Int,
-        nowMs: Long,
-    ) {
-        val moves = Urgency.entries.size - index
-        while (team.requests.isNotEmpty()) {
-            val head = team.requests.first()
-            val steps = head.request.urgency.ordinal - index + 1
-            if (nowMs - head.askedMs < agingMs * steps || moves <= 0) return
-            remove(head.key)
-            insert(head, index - 1)
-        }
-    }
-
     private fun insert(
         waiting: Waiting,
         index: Int,
@@ -143,7 +139,7 @@
             val team = teams.getOrPut(waiting.request.team) { TeamQueue(waiting.request.team, nextOrder++) }
             if (team.requests.isEmpty()) {
                 team.share = waiting.share
-                team.start = maxOf(team.start, virtualTime)
+                team.start = maxOf(team.start, virtualTime - BURST_TOKENS)
             }
             return team
         }
@@ -182,6 +178,7 @@
         ) {
             val isQueued = team.requests.isNotEmpty()
             if (isQueued) order -= team
+            // A team that spends its allowance for bursts does not move the time of the others back.
             virtualTime = maxOf(virtualTime, team.start)
             team.start += waiting.costTokens.toDouble() / team.share
             if (isQueued) order += team
@@ -194,6 +191,15 @@
 
     private companion object {
         const val MAX_TRIES = 8
+
+        /**
+         * What a team that stayed below its share may be served at once before it queues behind the others, in tokens
+         * for each unit of share. Without it, two prompts in a row of a small team wait as if it had sent too much.
+         */
+        const val BURST_TOKENS = 65_536.0
         const val MAX_IDLE_TEAMS = 4_096
     }
 }
+
+/** What became of a waiting request that was offered the open upstreams. */
+internal enum class Offer { NO_ROOM, REFUSED, GRANTED }
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/LedgerLimits.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/LedgerLimits.kt
@@ -19,7 +19,7 @@
     /** A waiting request moves up one class of urgency after each such period. */
     val agingMs: Long = 2_000,
     /** Short prefill work given to one engine ahead of time. More is queued here, where it can still be reordered. */
-    val shortAheadMs: Long = 250,
+    val shortAheadMs: Long = 100,
     /** A prompt with at least this many tokens to prefill is long. */
     val longPromptTokens: Long = 32_768,
     /** Long prefill that may remain on an engine when it is given another long prompt. */
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/LedgerViews.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/LedgerViews.kt
@@ -58,7 +58,13 @@
         firstTokenMs = minOf(firstTokenMs, upstream.shortWaitMs(nowMs) + upstream.firstTokenMs(SHORT_PROMPT_TOKENS))
     }
     val queue = pool.short.queue
-    val queuedMs = if (queue.isEmpty) 0.0 else queue.tokens / pool.short.drain.tokensPerMs(pool.statedRate(nowMs))
+    val queuedMs =
+        if (queue.isEmpty) {
+            0.0
+        } else {
+            queue.tokens /
+                pool.short.drain.tokensPerMs(pool.summary(nowMs).tokensPerMs)
+        }
     if (firstTokenMs == Double.MAX_VALUE) firstTokenMs = FULL_MS
     return PoolDigest(freeTokens, (firstTokenMs + queuedMs).coerceAtMost(MAX_MS).toLong(), upstreams)
 }
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/PoolLedger.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/PoolLedger.kt
@@ -17,6 +17,7 @@
     val short = WaitingLine(limits)
     val long = WaitingLine(limits)
 
+    private var summary: PoolSummary? = null
     private var meanTokens = 0.0
     private var completions = 0L
 
@@ -25,16 +26,30 @@
 
     fun serves(upstream: UpstreamLedger) = name in upstream.report.pools
 
-    fun kindOf(waiting: Waiting): RequestKind {
-        val largest = upstreams.maxOfOrNull { it.report.capacity.memoryTokens } ?: Long.MAX_VALUE
+    fun kindOf(
+        waiting: Waiting,
+        nowMs: Long,
+    ): RequestKind {
+        val summary = summary(nowMs)
         return when {
-            upstreams.firstOrNull()?.isEngine != true -> RequestKind.SHORT
-            waiting.memoryTokens > largest -> RequestKind.GANG
+            !summary.areEngines -> RequestKind.SHORT
+            waiting.memoryTokens > summary.largestMemory -> RequestKind.GANG
             waiting.request.promptTokens >= limits.longPromptTokens -> RequestKind.LONG
             else -> RequestKind.SHORT
         }
     }
 
+    fun summary(nowMs: Long): PoolSummary {
+        val known = summary
+        if (known != null && !known.isOld(nowMs)) return known
+        return PoolSummary(upstreams, nowMs).also { summary = it }
+    }
+
+    /** To be called when the set of upstreams changed, or whether one of them is usable. */
+    fun changed() {
+        summary = null
+    }
+
     /** The line that a request of this kind waits in; null for gangs. */
     fun line(kind: RequestKind) =
         when (kind) {
@@ -59,10 +74,6 @@
     /** Empties all queues. */
     fun removeAll(): List<Waiting> = short.queue.removeIf { true } + long.queue.removeIf { true } + gangs.removeAll()
 
-    /** Tokens per millisecond that the usable engines prefill together, as announced. */
-    fun statedRate(nowMs: Long): Double =
-        upstreams.sumOf { if (it.isUsable(nowMs)) it.report.capacity.prefillTokensPerSecond else 0.0 } / MS_PER_SECOND
-
     /** The length of answer to expect: at first a part of what is asked for, then the mean of the pool. */
     fun expectedTokens(waiting: Waiting): Double {
         val mean = if (completions < MIN_COMPLETIONS) waiting.request.maxTokens / 2.0 else meanTokens
@@ -76,7 +87,6 @@
     }
 
     private companion object {
-        const val MS_PER_SECOND = 1_000.0
         const val MIN_COMPLETIONS = 16
         const val MEAN_WEIGHT = 0.02
     }
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/PoolSummary.kt
@@ -0,0 +1,28 @@
+package samphirechute.routing.ledger
+
+/**
+ * Totals over the upstreams of a pool. They change slowly, so they are counted again only after a change of the set
+ * of upstreams or their state, or after [MAX_AGE_MS]; a decision must not take time in proportion to their number.
+ */
+internal class PoolSummary(
+    upstreams: List<UpstreamLedger>,
+    private val atMs: Long,
+) {
+    val usable = upstreams.count { it.isUsable(atMs) }
+    val serving = upstreams.count { it.isServing(atMs) }
+    val leaving = upstreams.count { it.isServing(atMs) && (it.isDrained || it.report.isLeaving) }
+    val areEngines = upstreams.firstOrNull()?.isEngine == true
+    val largestMemory = upstreams.maxOfOrNull { it.report.capacity.memoryTokens } ?: Long.MAX_VALUE
+    val usableMemory = upstreams.sumOf { if (it.isUsable(atMs)) it.report.capacity.memoryTokens else 0L }
+
+    /** Tokens per millisecond that the usable engines prefill together, as announced. */
+    val tokensPerMs =
+        upstreams.sumOf { if (it.isUsable(atMs)) it.report.capacity.prefillTokensPerSecond else 0.0 } / MS_PER_SECOND
+
+    fun isOld(nowMs: Long) = nowMs - atMs >= MAX_AGE_MS
+
+    private companion object {
+        const val MAX_AGE_MS = 100L
+        const val MS_PER_SECOND = 1_000.0
+    }
+}
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/ReportIntake.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/ReportIntake.kt
@@ -22,6 +22,8 @@
         val upstream = known ?: UpstreamLedger(report, nowMs, limits).also { enter(it, isDrained) }
         val isRestart = report.generation > upstream.report.generation
         val oldPools = upstream.report.pools
+        val wasUsable = upstream.isUsable(nowMs)
+        val oldCapacity = upstream.report.capacity
         if (known != null && !upstream.take(report, isLearning, nowMs)) return null
         if (known == null) upstream.correct(isLearning, nowMs)
         if (isRestart) prefixes.clear(upstream)
@@ -29,6 +31,7 @@
             (oldPools - report.pools).forEach { leave(upstream, it) }
             (report.pools - oldPools).forEach { join(upstream, it) }
         }
+        if (upstream.isUsable(nowMs) != wasUsable || oldCapacity != report.capacity) changed(upstream)
         prefixes.take(upstream, report.cache, nowMs)
         if (isLearning) upstream.observeLoad()
         place(upstream, nowMs)
@@ -36,6 +39,9 @@
         return LedgerOutput.Noted("upstream_cold", mapOf("upstream" to upstream.id.value, "cause" to "generation"))
     }
 
+    /** Tells the pools of an upstream that it came into service or went out of it. */
+    fun changed(upstream: UpstreamLedger) = upstream.report.pools.forEach { pools[it]?.changed() }
+
     /** Brings the rank of an upstream in its pools up to date; needed after each change of its load or state. */
     fun place(
         upstream: UpstreamLedger,
@@ -74,6 +80,7 @@
     ) {
         val pool = pools.getOrPut(name) { PoolLedger(name, prefixes, limits) }
         pool.upstreams += upstream
+        pool.changed()
         if (upstream.rankMs != UpstreamRank.CLOSED) pool.rank.add(upstream)
     }
 
@@ -84,6 +91,7 @@
         val pool = pools[name] ?: return
         pool.rank.remove(upstream)
         pool.upstreams -= upstream
+        pool.changed()
         if (pool.upstreams.isEmpty() && !pool.isWaiting) pools -= name
     }
 
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/RequestDesk.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/RequestDesk.kt
@@ -31,13 +31,12 @@
         if (pool.isQueued(request.key)) return
         val waiting = Waiting(request, nowMs, request.promptTokens + request.maxTokens / COST_OF_ANSWER)
         unservable(pool, request, nowMs)?.let { return refuse(request.key, it, out) }
-        val kind = pool.kindOf(waiting)
+        val kind = pool.kindOf(waiting, nowMs)
         pool.share.asked(request.promptTokens, kind != RequestKind.SHORT, nowMs)
         val isFirst = pool.line(kind)?.queue?.isEmpty ?: pool.gangs.isEmpty
-        if (isFirst && epoch.mayGrant(nowMs) && tryGrant(pool, kind, waiting, out, nowMs)) {
-            pool.line(kind)?.queue?.charge(waiting)
-            return
-        }
+        val offer = if (isFirst && epoch.mayGrant(nowMs)) tryGrant(pool, kind, waiting, out, nowMs) else Offer.NO_ROOM
+        if (offer == Offer.GRANTED) pool.line(kind)?.queue?.charge(waiting)
+        if (offer != Offer.NO_ROOM) return
         enqueue(pool, kind, waiting, out, nowMs)
         if (!isFirst) dispatch(pool, out, nowMs)
     }
@@ -73,7 +72,7 @@
             line.drain.advance(!line.queue.isEmpty, nowMs)
             line.queue.age(nowMs)
         }
-        if (!epoch.isLearning(nowMs) && pool.upstreams.none { it.isServing(nowMs) }) {
+        if (!epoch.isLearning(nowMs) && pool.summary(nowMs).serving == 0) {
             pool.removeAll().forEach { refuse(it.key, NO_UPSTREAM, out) }
         }
         dispatch(pool, out, nowMs)
@@ -119,31 +118,33 @@
         nowMs: Long,
     ): Refusal? {
         if (isDomainDrained) return Refusal(RefusalReason.DRAINED, DRAINED_RETRY_MS)
+        val summary = pool.summary(nowMs)
         // Upstreams announce themselves each second; a new coordinator waits to hear of them.
-        if (epoch.isLearning(nowMs) && pool.upstreams.none { it.isUsable(nowMs) }) return null
-        val serving = pool.upstreams.filter { it.isServing(nowMs) && it.id !in request.excluded }
-        if (serving.isEmpty()) return Refusal(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
-        val areLeaving = serving.all { it.isDrained || it.report.isLeaving }
-        return if (areLeaving) Refusal(RefusalReason.DRAINED, DRAINED_RETRY_MS) else null
+        if (epoch.isLearning(nowMs) && summary.usable == 0) return null
+        if (summary.serving == 0) return Refusal(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+        if (summary.serving == summary.leaving) return Refusal(RefusalReason.DRAINED, DRAINED_RETRY_MS)
+        if (request.excluded.isEmpty()) return null
+        val isAnyLeft = pool.upstreams.any { it.isServing(nowMs) && it.id !in request.excluded }
+        return if (isAnyLeft) null else Refusal(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
     }
 
-    /** Grants or refuses a request for which an upstream has room. Returns false when it has to wait. */
+    /** Grants or refuses a request for which an upstream has room. */
     private fun tryGrant(
         pool: PoolLedger,
         kind: RequestKind,
         waiting: Waiting,
         out: MutableList<LedgerOutput>,
         nowMs: Long,
-    ): Boolean {
-        if (kind == RequestKind.GANG) return false
-        val choice = pool.choose(kind, waiting, nowMs) ?: return false
+    ): Offer {
+        if (kind == RequestKind.GANG) return Offer.NO_ROOM
+        val choice = pool.choose(kind, waiting, nowMs) ?: return Offer.NO_ROOM
         val refusal = admission.refusalOf(pool, waiting, choice, nowMs)
         if (refusal != null) {
             refuse(waiting.key, refusal, out)
-        } else {
-            out += LedgerOutput.Granted(leases.grant(pool, waiting, choice, epoch.number, nowMs))
+            return Offer.REFUSED
         }
-        return true
+        out += LedgerOutput.Granted(leases.grant(pool, waiting, choice, epoch.number, nowMs))
+        return Offer.GRANTED
     }
 
     private fun dispatch(
@@ -156,13 +157,13 @@
         if (line.queue.isEmpty) return
         while (true) {
             var cost = 0L
-            val isTaken =
+            val offer =
                 line.queue.offer { waiting ->
                     cost = waiting.costTokens
                     tryGrant(pool, kind, waiting, out, nowMs)
                 }
-            if (!isTaken) break
-            line.drain.granted(cost, !line.queue.isEmpty, nowMs)
+            if (offer == Offer.NO_ROOM) break
+            if (offer == Offer.GRANTED) line.drain.granted(cost, !line.queue.isEmpty, nowMs)
         }
     }
 
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamChoice.kt
@@ -52,7 +52,7 @@
         nowMs: Long,
     ): Choice? {
         val prefilling = pool.upstreams.count { it.isPrefillingLong(nowMs) }
-        val isShareUsed = prefilling >= pool.share.maxEngines(pool.upstreams.count { it.isUsable(nowMs) })
+        val isShareUsed = prefilling >= pool.share.maxEngines(pool.summary(nowMs).usable)
         var best: UpstreamLedger? = null
         var bestCost = Double.MAX_VALUE
         for (upstream in pool.upstreams) {
