Wait for engines that hold the prefix, and learn grants before reports

Cause: a successor that heard of a grant before its engine reported never entered it, counted its memory as nobody's and would have cancelled it. Long prompts were refused by a queue bound of 60 s although they had 240 s.

--- a/bench/src/main/kotlin/samphirechute/bench/routing/Dispatcher.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/routing/Dispatcher.kt
@@ -2,6 +2,7 @@
 
 import samphirechute.core.RequestId
 import samphirechute.routing.GrantEnding
+import samphirechute.routing.RefusalReason
 import samphirechute.routing.UpstreamReport
 
 /** Decides which engine runs a request: the ledger, or a baseline. */
@@ -37,5 +38,6 @@
 
     data class Refuse(
         val id: RequestId,
+        val reason: RefusalReason,
     ) : Decision()
 }
--- a/bench/src/main/kotlin/samphirechute/bench/routing/DomainDispatcher.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/routing/DomainDispatcher.kt
@@ -7,6 +7,7 @@
 import samphirechute.routing.DomainChooser
 import samphirechute.routing.DomainDigest
 import samphirechute.routing.GrantEnding
+import samphirechute.routing.RefusalReason
 import samphirechute.routing.UpstreamReport
 
 /** The ledgers of all failure domains, with the choice of domain at the entry instances. */
@@ -72,7 +73,7 @@
         val home = domains[request.instance % domains.size]
         val before = tried[request.id].orEmpty()
         val target = choosers.getValue(home).next(request.grantRequest(nowMs), before, nowMs)
-        val domain = target?.failureDomain ?: return listOf(Decision.Refuse(request.id))
+        val domain = target?.failureDomain ?: return listOf(Decision.Refuse(request.id, RefusalReason.NO_UPSTREAM))
         tried[request.id] = before + domain
         return follow(domain, ledgers.getValue(domain).ask(request, nowMs), nowMs)
     }
--- a/bench/src/main/kotlin/samphirechute/bench/routing/LedgerDispatcher.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/routing/LedgerDispatcher.kt
@@ -84,7 +84,7 @@
             }
 
             is LedgerOutput.Refused -> {
-                Decision.Refuse(output.key.requestId)
+                Decision.Refuse(output.key.requestId, output.reason)
             }
 
             is LedgerOutput.Reclaim, is LedgerOutput.Noted -> {
--- a/bench/src/main/kotlin/samphirechute/bench/routing/Simulation.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/routing/Simulation.kt
@@ -57,8 +57,13 @@
     fun apply(decisions: List<Decision>) {
         for (decision in decisions) {
             when (decision) {
-                is Decision.Refuse -> byId.getValue(decision.id).refusedMs = timer.nowMs()
-                is Decision.Dispatch -> timer.after(HOP_MS) { dispatch(decision) }
+                is Decision.Refuse -> {
+                    byId.getValue(decision.id).refusedMs = timer.nowMs()
+                }
+
+                is Decision.Dispatch -> {
+                    timer.after(HOP_MS) { dispatch(decision) }
+                }
             }
         }
     }
--- a/bench/src/main/kotlin/samphirechute/bench/routing/Workload.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/routing/Workload.kt
@@ -3,6 +3,7 @@
 import samphirechute.routing.PromptPrefix
 import kotlin.math.exp
 import kotlin.math.ln
+import kotlin.math.pow
 import kotlin.random.Random
 import kotlin.random.asJavaRandom
 
@@ -63,13 +64,16 @@
 
     private fun shortPrompt(gauss: Double) = (SHORT_MEDIAN * exp(gauss)).toLong().coerceIn(1_000, 30_000)
 
-    private fun longPrompt(random: Random) =
-        exp(ln(LONG_MIN) + random.nextDouble() * (ln(LONG_MAX) - ln(LONG_MIN))).toLong()
+    /** A bounded Pareto distribution: most long prompts are a few times 100,000 tokens, few are a million. */
+    private fun longPrompt(random: Random): Long {
+        val part = 1 - random.nextDouble() * (1 - (LONG_MIN / LONG_MAX).pow(LONG_SHAPE))
+        return (LONG_MIN * part.pow(-1 / LONG_SHAPE)).toLong()
+    }
 
     private fun meanPrompt(): Double {
         val shortMean = SHORT_MEAN + if (hasPrefixes) PREFIX_TOKENS else 0L
         if (!hasLong) return shortMean
-        return (1 - LONG_PART) * shortMean + LONG_PART * (LONG_MAX - LONG_MIN) / ln(LONG_MAX / LONG_MIN)
+        return (1 - LONG_PART) * shortMean + LONG_PART * LONG_MEAN
     }
 
     private companion object {
@@ -80,6 +84,10 @@
         const val SHORT_MEAN = 3_590.0
         const val LONG_MIN = 1e5
         const val LONG_MAX = 1e6
+        const val LONG_SHAPE = 1.5
+
+        /** Mean of the bounded Pareto distribution with this shape. */
+        const val LONG_MEAN = 211_900.0
         const val ANSWER_MEDIAN = 200.0
         const val ANSWER_SIGMA = 0.8
         const val PREFIXES_PER_TEAM = 4
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/ColdLimit.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/ColdLimit.kt
@@ -20,6 +20,15 @@
 
     val isCold: Boolean get() = concurrency < capacity.maxConcurrency || prefillTokens < Long.MAX_VALUE
 
+    /** How much slower than announced the upstream is likely to be: what was seen lately while it is cold. */
+    val slowness: Double
+        get() =
+            when {
+                !isCold -> 1.0
+                samples < MIN_SAMPLES -> UNKNOWN_SLOWNESS
+                else -> fastRatio.coerceIn(1.0, MAX_SLOWNESS)
+            }
+
     private var proved = 0
     private var provedPrefills = 0
     private var slowInARow = 0
@@ -116,6 +125,9 @@
         const val PREFILL_SAMPLES = 4
         const val FAST_WEIGHT = 0.3
         const val SLOW_WEIGHT = 0.05
+        const val MIN_SAMPLES = 3
+        const val UNKNOWN_SLOWNESS = 2.0
+        const val MAX_SLOWNESS = 5.0
         const val LEVEL_SAMPLES = 48
         const val LEVEL_BAND = 0.05
     }
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/DomainLedger.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/DomainLedger.kt
@@ -123,7 +123,12 @@
         if (!epoch.isHeld) return
         val unlisted = grants.renew(input.instance, input.grants.mapTo(HashSet()) { it.key }, nowMs)
         for (grant in input.grants) {
-            if (grants[grant.key] == null && !grants.hasEnded(grant.key)) leases.takeOver(grant, nowMs)
+            val record = grants[grant.key]
+            if (record != null) {
+                leases.attach(record, nowMs)
+            } else if (!grants.hasEnded(grant.key)) {
+                leases.takeOver(grant, nowMs)
+            }
         }
         unlisted.forEach { expire(it, "unused", out, nowMs) }
     }
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/GrantLeases.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/GrantLeases.kt
@@ -57,17 +57,29 @@
         return grant
     }
 
-    /** Enters a grant of another epoch that its holder still has; what it prefills is in the engine's own report. */
+    /** Takes over a grant of another epoch that its holder still has. */
     fun takeOver(
         grant: Grant,
         nowMs: Long,
     ) {
-        grants.add(GrantRecord(grant, null, emptyList(), nowMs))
-        for (part in grant.parts) {
+        val record = GrantRecord(grant, null, emptyList(), nowMs)
+        grants.add(record)
+        attach(record, nowMs)
+    }
+
+    /**
+     * Enters the parts of a renewed grant whose upstreams were not known before: to a new coordinator the grant may be
+     * listed before the upstream reports. What it still prefills is in the engine's own report.
+     */
+    fun attach(
+        record: GrantRecord,
+        nowMs: Long,
+    ) {
+        for (part in record.grant.parts) {
             val upstream = upstreams[part.upstream] ?: continue
-            if (upstream.report.generation != part.generation) continue
+            if (upstream.report.generation != part.generation || upstream.holds(record.grant.key)) continue
             val isLong = part.prefillTokens >= LONG_PREFILL_TOKENS
-            upstream.lease(grant.key, part, isLong, nowMs, isPrefilled = true)
+            upstream.lease(record.grant.key, part, isLong, nowMs, isPrefilled = true)
             upstream.observeLoad()
             place(upstream, nowMs)
         }
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/LedgerLimits.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/LedgerLimits.kt
@@ -25,11 +25,11 @@
     /** Long prefill that may remain on an engine when it is given another long prompt. */
     val longAheadMs: Long = 500,
     /** The longest that a prompt larger than one engine waits for its engines. */
-    val gangWaitMs: Long = 30_000,
+    val gangWaitMs: Long = 120_000,
     /** After this long, engines collected for a waiting gang take no short work either. */
     val gangPatienceMs: Long = 3_000,
     /** Bound on the tokens queued for one pool, in milliseconds of its capacity. */
-    val maxQueueMs: Long = 60_000,
+    val maxQueueMs: Long = 240_000,
     /** An idle cold engine takes one prompt above its cold limit when nothing else proved it for this long. */
     val coldIdleMs: Long = 10_000,
 )
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/LedgerViews.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/LedgerViews.kt
@@ -55,7 +55,8 @@
         // Applications have no memory; each request that they may still take counts as one token.
         val room = (upstream.limit.concurrency - upstream.running).toLong()
         freeTokens += if (upstream.isEngine) upstream.freeMemory else room
-        firstTokenMs = minOf(firstTokenMs, upstream.shortWaitMs(nowMs) + upstream.firstTokenMs(SHORT_PROMPT_TOKENS))
+        val expectedMs = upstream.shortWaitMs(nowMs) + upstream.firstTokenMs(SHORT_PROMPT_TOKENS)
+        firstTokenMs = minOf(firstTokenMs, expectedMs * upstream.limit.slowness)
     }
     val queue = pool.short.queue
     val queuedMs =
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/RequestDesk.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/RequestDesk.kt
@@ -38,7 +38,7 @@
         if (offer == Offer.GRANTED) pool.line(kind)?.queue?.charge(waiting)
         if (offer != Offer.NO_ROOM) return
         enqueue(pool, kind, waiting, out, nowMs)
-        if (!isFirst) dispatch(pool, out, nowMs)
+        if (!isFirst || kind == RequestKind.GANG) dispatch(pool, out, nowMs)
     }
 
     /** Grants what waits for a pool as far as its upstreams have room. */
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamChoice.kt
@@ -20,7 +20,10 @@
     private val prefixes: PrefixIndex,
     private val limits: LedgerLimits,
 ) {
-    /** For a short prompt, or a request of a plain application; null while no upstream has room. */
+    /**
+     * For a short prompt, or a request of a plain application; null while no upstream has room, and while waiting for
+     * an engine that has the prefix is better than prefilling it elsewhere now.
+     */
     fun chooseShort(
         waiting: Waiting,
         nowMs: Long,
@@ -28,10 +31,14 @@
         var best: UpstreamLedger? = null
         var bestCost = Double.MAX_VALUE
         var seen = 0
+        val queuedMs = pool.short.queue.tokens / pool.summary(nowMs).tokensPerMs
 
         fun weigh(upstream: UpstreamLedger): Boolean {
-            if (!isOpenForShort(upstream, waiting, nowMs)) return false
-            val cost = shortCost(upstream, waiting, nowMs)
+            if (!hasRoomForShort(upstream, waiting, nowMs)) return false
+            val isLater = upstream.shortWaitMs(nowMs) > limits.shortAheadMs
+            // It is worth waiting only for an engine with the prefix, which first serves what is queued already.
+            if (isLater && cachedOn(upstream, waiting, nowMs).worth == 0L) return false
+            val cost = shortCost(upstream, waiting, nowMs) + if (isLater) queuedMs else 0.0
             if (cost < bestCost) {
                 bestCost = cost
                 best = upstream
@@ -43,7 +50,8 @@
             seen < MAX_SEEN && upstream.shortWaitMs(nowMs) < bestCost
         }
         prefixes.visitHolders(waiting.request.prefixes) { if (pool.serves(it)) weigh(it) }
-        return best?.let { choice(it, waiting, isLong = false, nowMs) }
+        val upstream = best?.takeIf { it.shortWaitMs(nowMs) <= limits.shortAheadMs } ?: return null
+        return choice(upstream, waiting, isLong = false, nowMs)
     }
 
     /** For a long prompt: an engine with its prefix cached, or one of the share that long prompts may use. */
@@ -105,12 +113,12 @@
         return Choice(upstream, cached, tokens, wait + upstream.firstTokenMs(tokens), isLong)
     }
 
-    private fun isOpenForShort(
+    private fun hasRoomForShort(
         upstream: UpstreamLedger,
         waiting: Waiting,
         nowMs: Long,
     ): Boolean {
-        if (!upstream.isUsable(nowMs) || upstream.shortWaitMs(nowMs) > limits.shortAheadMs) return false
+        if (!upstream.isUsable(nowMs)) return false
         if (upstream.isCollected && pool.gangs.isImpatient(nowMs)) return false
         if (waiting.request.excluded.isNotEmpty() && upstream.id in waiting.request.excluded) return false
         val cached = cachedOn(upstream, waiting, nowMs).certain
@@ -124,7 +132,8 @@
     ): Double {
         if (!upstream.isEngine) return upstream.running.toDouble() / upstream.limit.concurrency
         val uncached = waiting.request.promptTokens - cachedOn(upstream, waiting, nowMs).worth
-        val cost = upstream.shortWaitMs(nowMs) + upstream.prefillMs(uncached) + upstream.running * RUNNING_COST_MS
+        val prefillMs = (upstream.shortWaitMs(nowMs) + upstream.prefillMs(uncached)) * upstream.limit.slowness
+        val cost = prefillMs + upstream.running * RUNNING_COST_MS
         if (!upstream.isPrefillingLong(nowMs)) return cost
         // Each of its steps is shared with a chunk of the long prefill, about doubling the time between tokens.
         val decodeMs = pool.expectedTokens(waiting) * upstream.report.capacity.decodeStepMs
