Keep a slot free for teams below their share, and count cold rates

Cause: a small team waited for a request of a flooding team to complete, and the wait was predicted by the announced rate while engines were cold. Change: the last slot of an engine is for teams below their share; the stated rate of a pool counts a cold engine by its limit and its slowness.

--- a/routing/src/main/kotlin/samphirechute/routing/ledger/FairQueue.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/FairQueue.kt
@@ -26,6 +26,9 @@
 
     fun remove(key: GrantKey): Waiting? = places.remove(key)?.let { it.level.remove(key, it.team) }
 
+    /** True when the team of [waiting] has been served less than its share of late. */
+    fun isBelowShare(waiting: Waiting) = levels[waiting.request.urgency.ordinal].isBelowShare(waiting)
+
     /** Accounts for a request that was granted without waiting. */
     fun charge(waiting: Waiting) {
         val level = levels[waiting.request.urgency.ordinal]
@@ -144,6 +147,8 @@
             return team
         }
 
+        fun isBelowShare(waiting: Waiting) = (teams[waiting.request.team]?.start ?: 0.0) < virtualTime
+
         fun add(waiting: Waiting): TeamQueue {
             val team = team(waiting)
             if (team.requests.isEmpty()) {
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/PoolSummary.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/PoolSummary.kt
@@ -15,12 +15,17 @@
     val largestMemory = upstreams.maxOfOrNull { it.report.capacity.memoryTokens } ?: Long.MAX_VALUE
     val usableMemory = upstreams.sumOf { if (it.isUsable(atMs)) it.report.capacity.memoryTokens else 0L }
 
-    /** Tokens per millisecond that the usable engines prefill together, as announced. */
-    val tokensPerMs =
-        upstreams.sumOf { if (it.isUsable(atMs)) it.report.capacity.prefillTokensPerSecond else 0.0 } / MS_PER_SECOND
+    /** Tokens per millisecond that the usable engines prefill together: as announced, or less while they are cold. */
+    val tokensPerMs = upstreams.sumOf { if (it.isUsable(atMs)) rateOf(it) else 0.0 } / MS_PER_SECOND
 
     fun isOld(nowMs: Long) = nowMs - atMs >= MAX_AGE_MS
 
+    private fun rateOf(upstream: UpstreamLedger): Double {
+        val capacity = upstream.report.capacity
+        val part = upstream.limit.concurrency.toDouble() / maxOf(1, capacity.maxConcurrency)
+        return capacity.prefillTokensPerSecond * minOf(1.0, part) / upstream.limit.slowness
+    }
+
     private companion object {
         const val MAX_AGE_MS = 100L
         const val MS_PER_SECOND = 1_000.0
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/RequestDesk.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/RequestDesk.kt
@@ -32,6 +32,7 @@
         val waiting = Waiting(request, nowMs, request.promptTokens + request.maxTokens / COST_OF_ANSWER)
         unservable(pool, request, nowMs)?.let { return refuse(request.key, it, out) }
         val kind = pool.kindOf(waiting, nowMs)
+        waiting.isBelowShare = pool.line(kind)?.queue?.isBelowShare(waiting) ?: false
         pool.share.asked(request.promptTokens, kind != RequestKind.SHORT, nowMs)
         val isFirst = pool.line(kind)?.queue?.isEmpty ?: pool.gangs.isEmpty
         val offer = if (isFirst && epoch.mayGrant(nowMs)) tryGrant(pool, kind, waiting, out, nowMs) else Offer.NO_ROOM
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamChoice.kt
@@ -119,6 +119,8 @@
         nowMs: Long,
     ): Boolean {
         if (!upstream.isUsable(nowMs)) return false
+        val isReserved = upstream.isEngine && upstream.limit.concurrency - upstream.running <= RESERVED_SLOTS
+        if (isReserved && !waiting.isBelowShare && upstream.limit.concurrency > MIN_FOR_RESERVE) return false
         if (upstream.isCollected && pool.gangs.isImpatient(nowMs)) return false
         if (waiting.request.excluded.isNotEmpty() && upstream.id in waiting.request.excluded) return false
         val cached = cachedOn(upstream, waiting, nowMs).certain
@@ -154,6 +156,10 @@
     private companion object {
         const val MAX_SEEN = 8
 
+        /** Left free for teams below their share, which would otherwise wait for one of a flood to complete. */
+        const val RESERVED_SLOTS = 1
+        const val MIN_FOR_RESERVE = 16
+
         /** Each running sequence lengthens the step of its engine a little; this also spreads ties. */
         const val RUNNING_COST_MS = 1.0
     }
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/Waiting.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/Waiting.kt
@@ -14,6 +14,9 @@
     val doneByMs = plus(askedMs, request.remainingMs)
     val memoryTokens = request.promptTokens + request.maxTokens
 
+    /** True when its team had been served less than its share when this was asked. */
+    var isBelowShare = false
+
     private fun plus(
         atMs: Long,
         durationMs: Long,
