Lose the answer to a committed claim in the fault matrix

Cause: trials that dropped the release of a claim whose answer was lost broke no cell, since the domain was cut before the claim reached the store. Change: the cut begins 3 ms after the strike.

--- a/routing/src/test/kotlin/samphirechute/routing/flow/matrix/World.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/matrix/World.kt
@@ -152,7 +152,7 @@
             }
 
             Fault.DOMAIN_CUT -> {
-                isCut = true
+                timer.after(CUT_MS) { isCut = true }
                 timer.after(HEAL_MS) { isCut = false }
             }
 
@@ -174,6 +174,9 @@
         private const val EXPIRY_MS = 250L
         private const val RESEND_MS = 50L
         private const val RESTART_MS = 3_000L
+
+        /** A claim sent when the fault strikes reaches the store, and its answer is lost. */
+        private const val CUT_MS = 3L
         private const val HEAL_MS = 5_000L
         private const val STEP_MS = 500L
         private const val SETTLE_MS = 8_000L
