--- a/state/src/main/kotlin/samphirechute/state/raft/Election.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Election.kt
@@ -30,14 +30,17 @@
         if (!member.disk.isIdle) return
         member.leader = null
         dueMs = retryMs(PRE_VOTE_WAIT_MS)
-        campaign = Campaign(member.term + 1, isPreVote = true)
+        campaign = Campaign(member.term + 1, isPreVote = true, member.nowMs)
         request { PreVoteRequest(member.identity, member.term + 1, member.log.lastIndex, member.log.lastTerm) }
         grant(member.identity)
     }
 
     fun onPreVoteRequest(request: PreVoteRequest) {
         if (isBound()) return
-        val isGranted = request.term > member.term && isUpToDate(request.lastTerm, request.lastIndex)
+        val isEligible = request.term > member.term && isUpToDate(request.lastTerm, request.lastIndex)
+        val isGranted = isEligible && !isPreferredTo(request)
+        // Two members that campaign at once would split the votes and lose a whole round.
+        if (isGranted) dueMs = maxOf(dueMs, member.nowMs + PRE_VOTE_WAIT_MS)
         val term = if (isGranted) request.term else member.term
         member.send(request.from.instance, PreVoteReply(member.identity, term, isGranted))
     }
@@ -97,7 +100,7 @@
         val term = member.term + 1
         dueMs = retryMs(VOTE_WAIT_MS)
         member.save(HardState(term, member.identity))
-        campaign = Campaign(term, isPreVote = false, voteSequence = member.disk.lastIssued)
+        campaign = Campaign(term, isPreVote = false, member.nowMs, member.disk.lastIssued)
         request { VoteRequest(member.identity, term, member.log.lastIndex, member.log.lastTerm) }
     }
 
@@ -114,6 +117,13 @@
     private fun retryMs(answerMs: Long) =
         member.nowMs + answerMs + member.random.nextLong(member.timings.retryMinMs, member.timings.retryMaxMs + 1)
 
+    /** Of two campaigns at once the one of the lower name goes on, if its log is no worse. */
+    private fun isPreferredTo(request: PreVoteRequest): Boolean {
+        val own = campaign ?: return false
+        val isSame = request.lastTerm == member.log.lastTerm && request.lastIndex == member.log.lastIndex
+        return isSame && member.self.instance < request.from.instance && member.nowMs - own.sinceMs < PRE_VOTE_WAIT_MS
+    }
+
     private fun isBound() = isLeading() || member.nowMs - member.lastHeardMs < member.timings.electionMinMs
 
     private fun isUpToDate(
@@ -130,6 +140,7 @@
     private class Campaign(
         val term: Long,
         val isPreVote: Boolean,
+        val sinceMs: Long,
         val voteSequence: Long = 0,
         val grants: MutableSet<DiskIdentity> = mutableSetOf(),
     )
