Give orders to engines, serve prompts larger than one engine, repair disks

Orders: the store leader's term goes with each order; its end is recorded and shown in the time line. Large prompts: a grant of several parts borrows memory at the lenders before the engine that answers is asked, and gives it back at the end; a lender that refuses makes the attempt one that did not run. Repair: the instance with the new disk asks to rejoin, and counts only after it has caught up. samphirectl has order and rejoin.

--- a/cli/src/main/kotlin/samphirechute/cli/command/Commands.kt
+++ b/cli/src/main/kotlin/samphirechute/cli/command/Commands.kt
@@ -21,6 +21,8 @@
         SubCommand(name = "instances", impl = InstancesCommand::class),
         SubCommand(name = "drain", impl = DrainCommand::class),
         SubCommand(name = "undrain", impl = UndrainCommand::class),
+        SubCommand(name = "order", impl = OrderCommand::class),
+        SubCommand(name = "rejoin", impl = RejoinCommand::class),
         SubCommand(name = "timeline", impl = TimelineCommand::class),
         SubCommand(name = "send", impl = SendCommand::class),
     )
--- a/core/src/main/kotlin/samphirechute/core/api/ApiPaths.kt
+++ b/core/src/main/kotlin/samphirechute/core/api/ApiPaths.kt
@@ -31,6 +31,12 @@
     /** `POST` of a [DrainRequest], answered with a [DrainReply]. */
     const val DRAINS = "/operator/v1/drains"
 
+    /** `POST` of an [OrderRequest], answered with an [OrderReply]. */
+    const val ORDERS = "/operator/v1/orders"
+
+    /** `POST` of a [RejoinRequest] to the instance whose disk was replaced, answered with a [RejoinReply]. */
+    const val REJOIN = "/operator/v1/store/rejoin"
+
     /** `GET`, optionally with the query parameter [REQUEST_PARAMETER], answered with a [TimelineView]. */
     const val TIMELINE = "/operator/v1/timeline"
 
--- a/core/src/main/kotlin/samphirechute/core/engine/GenerateBody.kt
+++ b/core/src/main/kotlin/samphirechute/core/engine/GenerateBody.kt
@@ -20,6 +20,8 @@
     val priority: Int = 0,
     @SerialName("deadline_ms") val deadlineMs: Long,
     val lenders: List<String> = emptyList(),
+    /** The memory that the engine asked keeps itself, when there are [lenders]. */
+    @SerialName("memory_tokens") val memoryTokens: Long? = null,
 )
 
 /** Asks an engine to stop a request and free its memory (`POST /v1/cancel`). */
--- a/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
@@ -12,6 +12,7 @@
 import samphirechute.daemon.controller.DigestController
 import samphirechute.daemon.controller.DrainController
 import samphirechute.daemon.controller.GrantController
+import samphirechute.daemon.controller.OrderController
 import samphirechute.daemon.controller.StoreClient
 import samphirechute.daemon.controller.StoreController
 import samphirechute.daemon.controller.SyncController
@@ -33,6 +34,7 @@
 import samphirechute.daemon.peer.PeerClient
 import samphirechute.daemon.peer.PeerRoutes
 import samphirechute.daemon.peer.SyncReply
+import samphirechute.daemon.peer.UpstreamReply
 import samphirechute.net.EventLoop
 import samphirechute.net.HttpClient
 import samphirechute.net.HttpServer
@@ -68,9 +70,10 @@
     private val callers = CallerApi(parts, lifecycle::refusalReason, sync::service, intake)
     private val documents =
         DocumentRunners(runtime, storeClient, blobClient, sync::service, callers::runDocument)
+    private val orders = store?.let { OrderController(runtime, peerClient, it, coordinator, sync) }
     private val documentLeader = store?.let { DocumentLeader(runtime, peerClient, it, sync, documents) }
     private val operators =
-        OperatorApi(runtime, storeClient, drains, Views(runtime, lifecycle, sync, coordinator, store))
+        OperatorApi(runtime, storeClient, drains, Views(runtime, lifecycle, sync, coordinator, store), store)
     private val peerApi = PeerApi()
     private val api = DaemonApi(settings, lifecycle, callers, operators, peerApi, BlobApi(blobStore), sync, registry)
     private val server = HttpServer(loop, serverLimits(), api::handle)
@@ -89,6 +92,7 @@
             digests.start()
             documents.start()
             documentLeader?.start()
+            orders?.start()
             blobStore?.let(::cleanBlobs)
         }
         JvmMetrics.builder().register(registry)
@@ -120,8 +124,14 @@
         sync.onUndrainSettled = drains::undrainSettled
         store?.onConfiguration = { sync.feed(SyncInput.ConfigurationCommitted(it)) }
         store?.onDrainRecord = { sync.feed(SyncInput.DrainEvent(it)) }
-        store?.onApplied = { documentLeader?.applied(it) }
-        store?.onLeadership = { term -> documentLeader?.leadershipChanged(term != null) }
+        store?.onApplied = {
+            documentLeader?.applied(it)
+            orders?.applied(it)
+        }
+        store?.onLeadership = { term ->
+            documentLeader?.leadershipChanged(term != null)
+            orders?.leadershipChanged(term)
+        }
         store?.onCurrencyChanged = { sync.feed(SyncInput.StoreCurrencyChanged(it)) }
     }
 
@@ -142,6 +152,9 @@
         peerApi.on(PeerRoutes.lease) { envelope, exchange ->
             exchange.answer(LeaseReply(coordinator.received(envelope)))
         }
+        peerApi.on(PeerRoutes.findUpstream) { query, exchange ->
+            exchange.answer(UpstreamReply.of(coordinator.knownReport(query.upstream)))
+        }
         peerApi.on(PeerRoutes.runDocument) { message, exchange ->
             documents.assigned(message)
             exchange.answer(Unit)
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
@@ -116,6 +116,9 @@
 
     fun views() = ledger.views(runtime.nowMs)
 
+    /** The latest report of an upstream, if this instance is its coordinator. */
+    fun knownReport(upstream: UpstreamId): UpstreamReport? = if (isCoordinator) reports[upstream] else null
+
     fun report(upstream: UpstreamId): UpstreamReport? = reports[upstream]
 
     private fun tick() {
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreClient.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreClient.kt
@@ -43,12 +43,14 @@
     fun propose(
         command: Command,
         timeoutMs: Long,
+        tryTimeoutMs: Long = TRY_TIMEOUT_MS,
         onResult: (StoreResult) -> Unit,
-    ) = Proposal(command, runtime.nowMs + timeoutMs, onResult).attempt()
+    ) = Proposal(command, runtime.nowMs + timeoutMs, tryTimeoutMs, onResult).attempt()
 
     private inner class Proposal(
         private val command: Command,
         private val untilMs: Long,
+        private val tryTimeoutMs: Long,
         private val onResult: (StoreResult) -> Unit,
     ) {
         private var mayBeCommitted = false
@@ -59,7 +61,7 @@
             tries++
             val address = leader ?: candidate()
             if (address == null) return proposeHere()
-            val timeoutMs = minOf(TRY_TIMEOUT_MS, untilMs - runtime.nowMs)
+            val timeoutMs = minOf(tryTimeoutMs, untilMs - runtime.nowMs)
             peerClient.call(address, PeerRoutes.commands, command, timeoutMs) { result ->
                 result.fold(::answered, ::failed)
             }
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreController.kt
@@ -58,8 +58,8 @@
     val state: StoreState get() = node.state
     val isLeader: Boolean get() = node.isLeader
 
-    /** Disks that answer for a member without being in the membership, for the operator to add. */
-    val unknownDisks: Map<InstanceId, String> get() = node.unknownDisks
+    /** False while this instance's disk is not in the membership, as after it was wiped. */
+    val isVoter: Boolean get() = node.isVoter
 
     /** The time until which no other member can lead. */
     fun leaseUntilMs() = node.leaseUntilMs()
@@ -84,9 +84,13 @@
     ) {
         val token = ++lastToken
         answers[token] = onReply
-        feed(RaftInput.Propose(token, command))
+        feed(RaftInput.Propose(token, stamped(command)))
     }
 
+    /** The term of the leader that issues an order is its fencing number. */
+    private fun stamped(command: Command) =
+        if (command is Command.IssueOrder) command.copy(fencingNumber = node.term) else command
+
     fun view() = StoreView(node.leader?.instance, node.term)
 
     override fun close() = diskThread.close()
@@ -153,7 +157,8 @@
         onCurrencyChanged(isNow)
     }
 
-    private fun member() =
+    /** This instance with its disk, as a member of the store. */
+    fun member() =
         StoreMember(
             runtime.self,
             runtime.settings.failureDomain,
--- a/daemon/src/main/kotlin/samphirechute/daemon/operator/OperatorApi.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/operator/OperatorApi.kt
@@ -12,9 +12,14 @@
 import samphirechute.core.api.DrainReply
 import samphirechute.core.api.DrainRequest
 import samphirechute.core.api.InstancesView
+import samphirechute.core.api.OrderKind
+import samphirechute.core.api.OrderReply
+import samphirechute.core.api.OrderRequest
 import samphirechute.core.api.PublishOutcome
 import samphirechute.core.api.PublishReply
 import samphirechute.core.api.PublishRequest
+import samphirechute.core.api.RejoinReply
+import samphirechute.core.api.RejoinRequest
 import samphirechute.core.api.ServicesView
 import samphirechute.core.api.StatusView
 import samphirechute.core.api.TimelineView
@@ -23,6 +28,7 @@
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.controller.DrainController
 import samphirechute.daemon.controller.StoreClient
+import samphirechute.daemon.controller.StoreController
 import samphirechute.daemon.controller.StoreResult
 import samphirechute.daemon.http.RequestError
 import samphirechute.daemon.http.refuse
@@ -32,6 +38,7 @@
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
 import samphirechute.state.command.DrainTarget
+import samphirechute.state.command.UpstreamOrder
 
 /** Answers operators. Changes go to the store; views are those of this instance. */
 internal class OperatorApi(
@@ -39,12 +46,15 @@
     private val store: StoreClient,
     private val drains: DrainController,
     private val views: Views,
+    private val localStore: StoreController?,
 ) {
     fun handle(exchange: Exchange) {
         val request = exchange.request
         when ("${request.method} ${request.path}") {
             "POST ${ApiPaths.PUBLISH}" -> read(exchange, PublishRequest.serializer()) { publish(exchange, it) }
             "POST ${ApiPaths.DRAINS}" -> read(exchange, DrainRequest.serializer()) { drain(exchange, it) }
+            "POST ${ApiPaths.ORDERS}" -> read(exchange, OrderRequest.serializer()) { order(exchange, it) }
+            "POST ${ApiPaths.REJOIN}" -> read(exchange, RejoinRequest.serializer()) { rejoin(exchange, it) }
             "GET ${ApiPaths.STATUS}" -> answer(exchange, StatusView.serializer(), views.status())
             "GET ${ApiPaths.SERVICES}" -> answer(exchange, ServicesView.serializer(), views.services())
             "GET ${ApiPaths.UPSTREAMS}" -> answer(exchange, UpstreamsView.serializer(), views.upstreams())
@@ -113,6 +123,47 @@
         }
     }
 
+    private fun order(
+        exchange: Exchange,
+        request: OrderRequest,
+    ) {
+        val command = Command.IssueOrder(request.operationId, request.upstream, request.toOrder(), fencingNumber = 0)
+        store.propose(command, CHANGE_TIMEOUT_MS) { result ->
+            decided(exchange, result) {
+                answer(exchange, OrderReply.serializer(), OrderReply(request.operationId))
+            }
+        }
+    }
+
+    private fun rejoin(
+        exchange: Exchange,
+        request: RejoinRequest,
+    ) {
+        val local = localStore ?: return exchange.refuse(RequestError.InvalidBody("this instance has no store"))
+        val command = Command.AddMember(request.operationId, local.member())
+        store.propose(command, REJOIN_TIMEOUT_MS, REJOIN_TIMEOUT_MS) { result ->
+            decided(exchange, result) { answer(exchange, RejoinReply.serializer(), RejoinReply(isMember = true)) }
+        }
+    }
+
+    /** Answers a change that was not taken with the reason; else calls [onDone]. */
+    private fun decided(
+        exchange: Exchange,
+        result: StoreResult,
+        onDone: () -> Unit,
+    ) {
+        when (result) {
+            is StoreResult.Unavailable -> {
+                exchange.refuse(RequestError.Undecided(result.mayBeCommitted))
+            }
+
+            is StoreResult.Committed -> {
+                val rejected = result.result as? CommandResult.Rejected ?: return onDone()
+                exchange.refuse(RequestError.InvalidBody("${rejected.code}: ${rejected.message}"))
+            }
+        }
+    }
+
     private fun timeline(exchange: Exchange) {
         val requestId = exchange.request.query(ApiPaths.REQUEST_PARAMETER)?.let(::RequestId)
         answer(exchange, TimelineView.serializer(), TimelineView(runtime.self, runtime.ring.events(requestId)))
@@ -148,9 +199,19 @@
     private companion object {
         const val OK = 200
         const val CHANGE_TIMEOUT_MS = 5_000L
+
+        /** The new member catches up before it counts, for which the store allows 60 s. */
+        const val REJOIN_TIMEOUT_MS = 65_000L
     }
 }
 
+private fun OrderRequest.toOrder() =
+    when (kind) {
+        OrderKind.LOAD_MODEL -> UpstreamOrder.LoadModel(name, version)
+        OrderKind.LOAD_ADAPTER -> UpstreamOrder.LoadAdapter(name, version)
+        OrderKind.CHANGE_ROLE -> UpstreamOrder.ChangeRole(name)
+    }
+
 private fun DrainRequest.target() =
     when (kind) {
         DrainKind.INSTANCE -> DrainTarget.Instance(InstanceId(name))
--- a/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerRoute.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerRoute.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.JsonElement
 import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
+import samphirechute.core.UpstreamId
 import samphirechute.daemon.document.FindMessage
 import samphirechute.daemon.document.FindReply
 import samphirechute.daemon.document.RunMessage
@@ -14,6 +15,7 @@
 import samphirechute.routing.GrantRequest
 import samphirechute.routing.GrantResult
 import samphirechute.routing.RefusalReason
+import samphirechute.routing.UpstreamReport
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
 import samphirechute.state.lease.LeaseMessage
@@ -35,6 +37,7 @@
     val sync = PeerRoute("/peer/v1/sync", SyncMessage.serializer(), SyncReply.serializer())
     val lease = PeerRoute("/peer/v1/lease", LeaseEnvelope.serializer(), LeaseReply.serializer())
     val commands = PeerRoute("/peer/v1/commands", Command.serializer(), CommandReply.serializer())
+    val findUpstream = PeerRoute("/peer/v1/upstreams/find", UpstreamQuery.serializer(), UpstreamReply.serializer())
     val runDocument = PeerRoute("/peer/v1/documents/run", RunMessage.serializer(), Unit.serializer())
     val findDocument = PeerRoute("/peer/v1/documents/find", FindMessage.serializer(), FindReply.serializer())
     val raft = PeerRoute("/peer/v1/raft", RaftMessage.serializer(), Unit.serializer())
@@ -60,6 +63,22 @@
     val reports: List<JsonElement>,
 )
 
+@Serializable
+internal data class UpstreamQuery(
+    val upstream: UpstreamId,
+)
+
+/** Where an upstream is; [address] is null at an instance that does not know it. */
+@Serializable
+internal data class UpstreamReply(
+    val address: HostPort? = null,
+    val checksFencing: Boolean = false,
+) {
+    companion object {
+        fun of(report: UpstreamReport?) = UpstreamReply(report?.address, report?.checksFencing ?: false)
+    }
+}
+
 @Serializable
 internal data class SyncReply(
     val message: SyncMessage? = null,
--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
@@ -30,6 +30,15 @@
     override fun start(
         work: UpstreamWork,
         listener: AttemptListener,
+    ): UpstreamAttempt {
+        if (work.grant.parts.size == 1) return startPrimary(work, listener)
+        val memory = GangMemory(client, work.grant, work.requestId)
+        return GangAttempt(memory, work.requestId.value, listener) { startPrimary(work, it) }.also { it.start() }
+    }
+
+    private fun startPrimary(
+        work: UpstreamWork,
+        listener: AttemptListener,
     ): UpstreamAttempt {
         val request =
             ClientRequest(
@@ -65,6 +74,9 @@
                 work.grant.parts
                     .drop(1)
                     .map { it.address.toString() },
+            memoryTokens =
+                work.grant.primary.memoryTokens
+                    .takeIf { work.grant.parts.size > 1 },
         )
 
     private class EngineAttempt(
--- a/daemon/src/test/kotlin/samphirechute/daemon/ClusterFixture.kt
+++ b/daemon/src/test/kotlin/samphirechute/daemon/ClusterFixture.kt
@@ -67,6 +67,11 @@
         loops.remove(id.value)?.close()
     }
 
+    /** Empties the data folder of an instance that is not running. */
+    fun wipe(id: InstanceId) {
+        folder.resolve(id.value).toFile().deleteRecursively()
+    }
+
     fun signalStop(id: InstanceId) = daemons.getValue(id).stopSignalled()
 
     fun engine(
@@ -101,7 +106,7 @@
                 decodeStepMs = 1.0
                 change()
             }
-        val loop = EventLoop(id).also { loops[id] = it }
+        val loop = EventLoop(options.id).also { loops[options.id] = it }
         return start(options, loop, HttpClient(loop))
     }
 
@@ -129,6 +134,11 @@
         path: String,
     ): HttpResponse<String> = send(HttpRequest.newBuilder(uri(index, path)).GET())
 
+    fun getAt(
+        address: HostPort,
+        path: String,
+    ): HttpResponse<String> = send(HttpRequest.newBuilder(URI("http://$address$path")).GET())
+
     fun post(
         index: Int,
         path: String,
--- a/daemon/src/test/kotlin/samphirechute/daemon/FailureSpec.kt
+++ b/daemon/src/test/kotlin/samphirechute/daemon/FailureSpec.kt
@@ -12,6 +12,7 @@
 import samphirechute.core.api.PublishOutcome
 import samphirechute.core.service.ServiceMode
 import samphirechute.testkit.DeterministicAnswer
+import samphirechute.testkit.StandInOptions
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -91,6 +92,76 @@
             }
     }
 
+    @Nested
+    inner class LostDisks {
+        /** Guards against a wiped disk that votes as if it remembered, and against a loss right after a repair. */
+        @Test
+        fun `a wiped member counts only after it was added, and then replaces another one that dies`() =
+            withCluster {
+                serve()
+                val first = order(0, "repair-1").body()
+                val wiped = InstanceId("i3")
+                kill(wiped)
+                wipe(wiped)
+                start(wiped)
+                await("the wiped instance is ready") { get(2, ApiPaths.READINESS).statusCode() == 200 }
+                val answer = post(2, ApiPaths.REJOIN, """{"operation_id":"rejoin-1"}""")
+                assertEquals(200, answer.statusCode(), answer.body())
+                kill(InstanceId("i1"))
+                await("an order is taken by the repaired quorum") { order(1, "repair-2").statusCode() == 200 }
+                assertEquals(first, order(2, "repair-1").body())
+            }
+    }
+
+    @Nested
+    inner class Orders {
+        /** Guards against an order to an engine that is lost, or sent without the fencing number of its leader. */
+        @Test
+        fun `an order reaches its engine once, with the term of the store leader`() =
+            withCluster {
+                awaitReady()
+                val engine = engine(1) { checksFencing = true }
+                assertEquals(PublishOutcome.ACCEPTED, publish().outcome)
+                await("the engine serves") { complete(1, "x").statusCode() == 200 }
+                val load = """"upstream":"engine-1","kind":"load_model","name":"m","version":"2""""
+                val order = """{"operation_id":"load-1",$load}"""
+                repeat(2) { assertEquals(200, post(it, ApiPaths.ORDERS, order).statusCode()) }
+                await("the order was carried out") { "load-1" in getAt(engine, "/control/orders").body() }
+                val executed = getAt(engine, "/control/orders").body()
+                assertEquals(1, Regex("load-1").findAll(executed).count())
+                assertContains(executed, "\"fencing_number\":${status(0).store.term}")
+                await(
+                    "its end is recorded",
+                ) { peers.indices.any { "order_finished" in get(it, ApiPaths.TIMELINE).body() } }
+            }
+    }
+
+    @Nested
+    inner class LargePrompts {
+        /** Guards against a prompt that no engine can hold alone being refused, and against memory it leaves behind. */
+        @Test
+        fun `a prompt larger than one engine is answered by several, and all of their memory is free again`() =
+            withCluster {
+                awaitReady()
+                val engines = (1..3).map { number -> engine(0) { gangEngine("gang-$number") } }
+                assertEquals(PublishOutcome.ACCEPTED, publish().outcome)
+                val prompt = "lid ".repeat(10_000)
+                await("the large prompt is answered") {
+                    complete(0, prompt, "Idempotency-Key" to "gang-1").statusCode() == 200
+                }
+                await("the engines' memory is free") {
+                    engines.all { "\"used_memory_tokens\":0" in getAt(it, "/control/state").body() }
+                }
+            }
+
+        private fun StandInOptions.gangEngine(name: String) {
+            id = name
+            memoryTokens = 4_000
+            coldPrefillTokens = 20_000
+            prefillTokensPerSecond = 1e6
+        }
+    }
+
     @Nested
     inner class Drains {
         /** Guards against work that reaches a failure domain, an instance or an upstream that operators took out. */
--- a/testkit/src/main/kotlin/samphirechute/testkit/engine/Job.kt
+++ b/testkit/src/main/kotlin/samphirechute/testkit/engine/Job.kt
@@ -34,8 +34,8 @@
 
     val isDecoding get() = isAdmitted && prefillLeft == 0L
 
-    /** The lenders of a prompt that is too large for one engine hold equal parts of it. */
-    val memoryTokens = ceilDiv(body.promptTokens + body.maxTokens, body.lenders.size + 1L)
+    /** Unless the request says otherwise, the lenders of a prompt too large for one engine hold equal parts of it. */
+    val memoryTokens = body.memoryTokens ?: ceilDiv(body.promptTokens + body.maxTokens, body.lenders.size + 1L)
 
     private fun ceilDiv(
         dividend: Long,
