--- a/bench/src/main/kotlin/samphirechute/bench/store/Claims.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/store/Claims.kt
@@ -156,7 +156,7 @@
         store.propose(at, Claims.claim(Claims.key("request-$request"), claimant)) { outcome ->
             open--
             val state = ((outcome as? ProposalOutcome.Committed)?.result as? CommandResult.Claim)?.state
-            count(state?.let { it::class.simpleName } ?: outcome::class.simpleName.orEmpty())
+            count(state?.let { "claim ${it::class.simpleName}" } ?: "proposal ${outcome::class.simpleName}")
             if (state == ClaimState.Accepted && claimant == claimant(entry)) run(request, claimant)
         }
     }
