Settle competing candidates sooner, and ask for heartbeats again when they are lost

Change: a candidate that can no longer win releases its votes at once and waits longer the next time; a voter accepts the epoch of a holder that has won it, and remembers releases by process; heartbeats are asked for by age, from another member too when the coordinator does not answer; large digests are refreshed later. Conclusion: a test with 10 seeds keeps it within 4 s.

--- a/state/src/main/kotlin/samphirechute/state/lease/DomainLease.kt
+++ b/state/src/main/kotlin/samphirechute/state/lease/DomainLease.kt
@@ -17,6 +17,7 @@
     private val voter = Voter(settings)
     private var phase: Phase = Phase.Idle(null)
     private var isEligible = true
+    private var contentions = 0
     private var round = 0L
     private var reported: LeaseHolder? = null
 
@@ -80,6 +81,7 @@
         }
         if (!vote.isGranted) {
             if (current is Phase.Probing) voter.seeEpoch(vote.highestEpoch)
+            onRefusal(vote, outputs)
             return
         }
         when {
@@ -99,6 +101,27 @@
         }
     }
 
+    /** A candidate that can no longer win makes room at once. */
+    private fun onRefusal(
+        vote: LeaseMessage.Vote,
+        outputs: MutableList<LeaseOutput>,
+    ) {
+        val current = phase as? Phase.Candidate ?: return
+        if (vote.epoch != current.self.epoch) return
+        current.refused += vote.voter
+        if (current.refused.size > settings.voters.size - settings.majority) giveUp(current, outputs)
+    }
+
+    /** Candidates that compete wait longer each time, so that one of many voters gets a majority soon. */
+    private fun giveUp(
+        candidate: Phase.Candidate,
+        outputs: MutableList<LeaseOutput>,
+    ) {
+        if (candidate.refused.isNotEmpty()) contentions++
+        if (candidate is Phase.Asking) release(candidate.self, outputs)
+        phase = Phase.Idle(null)
+    }
+
     private fun onEligibility(
         isEligible: Boolean,
         outputs: MutableList<LeaseOutput>,
@@ -130,16 +153,8 @@
                 consider(current, nowMs, outputs)
             }
 
-            is Phase.Probing -> {
-                if (nowMs >= current.untilMs || voter.knownHolder != null) phase = Phase.Idle(null)
-            }
-
-            is Phase.Asking -> {
-                if (nowMs >=
-                    current.untilMs
-                ) {
-                    release(current.self, outputs).also { phase = Phase.Idle(null) }
-                }
+            is Phase.Candidate -> {
+                if (nowMs >= current.untilMs) giveUp(current, outputs)
             }
 
             is Phase.Holding -> {
@@ -155,11 +170,13 @@
     ) {
         if (!isEligible || !voter.isFree || voter.knownHolder != null) {
             phase = Phase.Idle(null)
+            if (voter.knownHolder != null) contentions = 0
             return
         }
         val candidacyMs = idle.candidacyMs
         if (candidacyMs == null) {
-            phase = Phase.Idle(nowMs + random.nextLong(MIN_CANDIDACY_DELAY_MS, MAX_CANDIDACY_DELAY_MS + 1))
+            val longestMs = MAX_CANDIDACY_DELAY_MS shl contentions.coerceAtMost(MAX_DOUBLINGS)
+            phase = Phase.Idle(nowMs + random.nextLong(MIN_CANDIDACY_DELAY_MS, longestMs + 1))
         } else if (nowMs >= candidacyMs) {
             probe(nowMs, outputs)
         }
--- a/state/src/main/kotlin/samphirechute/state/lease/LeaseTimes.kt
+++ b/state/src/main/kotlin/samphirechute/state/lease/LeaseTimes.kt
@@ -11,5 +11,8 @@
 internal const val MIN_CANDIDACY_DELAY_MS = 150L
 internal const val MAX_CANDIDACY_DELAY_MS = 450L
 
+/** The longest delay is doubled this often at most while candidates compete. */
+internal const val MAX_DOUBLINGS = 2
+
 /** A candidate without a majority after this long releases its votes, so that they do not block the next candidate. */
 internal const val CAMPAIGN_MS = 300L
--- a/state/src/main/kotlin/samphirechute/state/lease/Phase.kt
+++ b/state/src/main/kotlin/samphirechute/state/lease/Phase.kt
@@ -9,17 +9,23 @@
         val candidacyMs: Long?,
     ) : Phase()
 
+    sealed class Candidate : Phase() {
+        abstract val self: LeaseHolder
+        abstract val untilMs: Long
+        val refused = mutableSetOf<InstanceId>()
+    }
+
     class Probing(
-        val self: LeaseHolder,
-        val untilMs: Long,
+        override val self: LeaseHolder,
+        override val untilMs: Long,
         val willing: MutableSet<InstanceId>,
-    ) : Phase()
+    ) : Candidate()
 
     class Asking(
-        val self: LeaseHolder,
-        val untilMs: Long,
+        override val self: LeaseHolder,
+        override val untilMs: Long,
         val votes: VoteCount,
-    ) : Phase()
+    ) : Candidate()
 
     class Holding(
         val self: LeaseHolder,
--- a/state/src/main/kotlin/samphirechute/state/lease/Voter.kt
+++ b/state/src/main/kotlin/samphirechute/state/lease/Voter.kt
@@ -1,5 +1,6 @@
 package samphirechute.state.lease
 
+import samphirechute.core.InstanceId
 import samphirechute.state.SteppedClock
 
 /**
@@ -13,7 +14,7 @@
     private var vote: LeaseHolder? = null
     private var voteUntilMs = 0L
     private var lastRound = 0L
-    private var releasedEpoch = 0L
+    private val released = mutableMapOf<InstanceId, LeaseHolder>()
     private var known: LeaseHolder? = null
     private var knownUntilMs = 0L
 
@@ -33,10 +34,11 @@
         highestEpoch = maxOf(highestEpoch, epoch)
     }
 
-    fun onProbe(probe: LeaseMessage.Probe) = answer(probe.candidate, probe.round, isAllowed(probe.candidate), true)
+    fun onProbe(probe: LeaseMessage.Probe) =
+        answer(probe.candidate, probe.round, isAllowed(probe.candidate, isHolding = false), true)
 
     fun onAsk(ask: LeaseMessage.Ask): LeaseMessage.Vote {
-        val isGranted = isAllowed(ask.candidate)
+        val isGranted = isAllowed(ask.candidate, ask.isHolding)
         if (isGranted) {
             val isRepeat = vote == ask.candidate && ask.round <= lastRound && clockMs < voteUntilMs
             // A repeated or overtaken request is answered, but does not extend the vote.
@@ -48,14 +50,14 @@
             seeEpoch(ask.candidate.epoch)
         }
         // A voter that refuses, such as one that has just started, learns the holder too.
-        if (ask.isHolding && ask.candidate.epoch > releasedEpoch) know(ask.candidate, VOTE_MS)
+        if (ask.isHolding && !isReleased(ask.candidate)) know(ask.candidate, VOTE_MS)
         return answer(ask.candidate, ask.round, isGranted, false)
     }
 
     /** Returns true when the release freed this voter or took away the holder it knew. */
     fun onRelease(released: LeaseHolder): Boolean {
         seeEpoch(released.epoch)
-        releasedEpoch = maxOf(releasedEpoch, released.epoch)
+        if (!isReleased(released)) this.released[released.instance] = released
         val isVoteFreed = vote?.isReleasedBy(released) == true
         if (isVoteFreed) vote = null
         val isKnownGone = knownHolder?.isReleasedBy(released) == true
@@ -73,14 +75,21 @@
         knownUntilMs = clockMs + leftMs.coerceAtMost(VOTE_MS)
     }
 
-    private fun isAllowed(candidate: LeaseHolder): Boolean {
-        if (clockMs < VOTE_MS) return false
+    private fun isAllowed(
+        candidate: LeaseHolder,
+        isHolding: Boolean,
+    ): Boolean {
+        if (clockMs < VOTE_MS || isReleased(candidate)) return false
         val current = vote
         val isSame = current != null && current.isSameProcess(candidate)
         if (!isFree && !isSame) return false
-        return candidate.epoch > highestEpoch || current == candidate
+        // A candidate that lost may have used the epoch of the holder, but only one of them can have won it.
+        val isEpochWon = isHolding && candidate.epoch == highestEpoch
+        return candidate.epoch > highestEpoch || isEpochWon || current == candidate
     }
 
+    private fun isReleased(holder: LeaseHolder) = released[holder.instance]?.let { holder.isReleasedBy(it) } == true
+
     private fun answer(
         candidate: LeaseHolder,
         round: Long,
--- a/state/src/main/kotlin/samphirechute/state/sync/DigestTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/DigestTable.kt
@@ -18,13 +18,22 @@
         if (digest.ageMs >= DIGEST_FRESH_MS) return false
         val known = entries[digest.failureDomain]
         if (known != null && known.digest.version >= digest.version) return false
-        entries[digest.failureDomain] = Entry(digest.copy(ageMs = 0), nowMs - digest.ageMs.coerceAtLeast(0))
+        val bytes = digest.payload.toString().length + OVERHEAD_BYTES
+        entries[digest.failureDomain] = Entry(digest.copy(ageMs = 0), nowMs - digest.ageMs.coerceAtLeast(0), bytes)
         return true
     }
 
     /** Drops what is no longer fresh; true when something was dropped. */
     fun expire(nowMs: Long): Boolean = entries.values.removeIf { nowMs - it.bornMs >= DIGEST_FRESH_MS }
 
+    /** The age at which to ask the coordinator for a newer digest. */
+    val refreshMs: Long
+        get() =
+            (entries.values.sumOf { it.bytes } / DIGEST_BYTES_PER_MS).toLong().coerceIn(
+                DIGEST_REFRESH_MS,
+                DIGEST_RELAY_MS,
+            )
+
     fun isOlderThan(
         failureDomain: FailureDomain,
         ageMs: Long,
@@ -39,5 +48,11 @@
     private class Entry(
         val digest: DomainDigest,
         val bornMs: Long,
+        val bytes: Int,
     )
+
+    private companion object {
+        /** The fields of a digest besides its payload. */
+        const val OVERHEAD_BYTES = 130
+    }
 }
--- a/state/src/main/kotlin/samphirechute/state/sync/MemberTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/MemberTable.kt
@@ -22,6 +22,8 @@
 
     val rows: Map<InstanceId, MemberRow> get() = entries.mapValues { it.value.row }
 
+    val size: Int get() = entries.size
+
     val members: List<Member> get() = entries.map { (id, entry) -> entry.member(id) }
 
     /** Advances time and returns the members whose health changed. */
--- a/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
@@ -48,7 +48,6 @@
     /** The sender part of its latest message. */
     var known: SyncSender? = null
     var lastExchangeMs = Long.MIN_VALUE / 2
-    var heartbeatsMs = Long.MIN_VALUE / 2
     var askedMs: Long? = null
     var failures = 0
 
@@ -74,7 +73,8 @@
     fun isNewTo(
         id: InstanceId,
         row: MemberRow,
-    ) = told[id]?.let { row.incarnation > it.incarnation || row.heartbeat > it.heartbeat } != false
+        minAdvance: Long = 1,
+    ) = told[id]?.let { row.incarnation > it.incarnation || row.heartbeat >= it.heartbeat + minAdvance } != false
 
     fun noteFailure() {
         askedMs = null
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncExchange.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncExchange.kt
@@ -82,9 +82,18 @@
         if (held != null) state.beat()
         var data = state.lackedBy(peer, nowMs)
         if (isCoordinator) data = data.copy(digests = state.ownDigestFor(peer, nowMs))
-        if (peer.isHome) data = data.copy(heartbeats = state.heartbeatsFor(peer, nowMs))
+        // A coordinator that does not hear a member which this instance hears.
+        val isTold = peer.instance == coordinator
+        if (isTold) data = data.copy(heartbeats = state.heartbeatsFor(peer, STALE_HEARTBEATS))
         peer.askedMs = nowMs
-        val message = SyncMessage.Ask(state.sender(), data, held, state.wantedDigests(peer, coordinator, nowMs))
+        val message =
+            SyncMessage.Ask(
+                state.sender(),
+                data,
+                held,
+                state.wantedDigests(peer, coordinator, nowMs),
+                state.wantsHeartbeats(peer, nowMs),
+            )
         peer.noteTold(state.rowsOf(message))
         outputs += SyncOutput.Send(peer.instance, message)
     }
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncMessage.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncMessage.kt
@@ -26,6 +26,7 @@
         @SerialName("d") override val data: SyncData = SyncData(),
         @SerialName("h") val grants: HeldGrants? = null,
         @SerialName("w") val wantedDigests: List<FailureDomain> = emptyList(),
+        @SerialName("t") val wantsHeartbeats: Boolean = false,
     ) : SyncMessage()
 
     /** Answers [Ask] with what its sender lacks. */
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
@@ -150,7 +150,7 @@
             outputs += SyncOutput.GrantsHeld(peer.instance, held.payload)
         }
         var data = state.lackedBy(peer, nowMs, ask.wantedDigests)
-        if (peer.isHome) data = data.copy(heartbeats = state.heartbeatsFor(peer, nowMs))
+        if (ask.wantsHeartbeats) data = data.copy(heartbeats = state.heartbeatsFor(peer, minAdvance = 1))
         val reply = SyncMessage.Reply(state.sender(), data)
         peer.noteTold(state.rowsOf(reply))
         outputs += SyncOutput.Answer(reply)
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncState.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncState.kt
@@ -19,6 +19,9 @@
     private val failureDomains = settings.peers.mapTo(sortedSetOf()) { it.failureDomain }
     private var heartbeat = 0L
 
+    /** When heartbeats last came as an answer. */
+    private var heartbeatsMs = Long.MIN_VALUE / 2
+
     fun sender() =
         SyncSender(
             instance = settings.self,
@@ -77,7 +80,7 @@
         coordinator: InstanceId?,
         nowMs: Long,
     ): List<FailureDomain> {
-        val ageMs = if (peer.instance == coordinator) DIGEST_REFRESH_MS else DIGEST_RELAY_MS
+        val ageMs = if (peer.instance == coordinator) digests.refreshMs else DIGEST_RELAY_MS
         return failureDomains.filter {
             val isSource = coordinator == settings.self && digests.get(it)?.coordinator == peer.instance
             (it != settings.failureDomain && isSource) || digests.isOlderThan(it, ageMs, nowMs)
@@ -97,19 +100,23 @@
         val drainOutputs = mutableListOf<DrainOutput>()
         data.drains?.let { drainOutputs += drains.handle(DrainInput.RecordLearned(it), nowMs) }
         if (data.overlay.isNotEmpty()) drainOutputs += drains.handle(DrainInput.EntriesLearned(data.overlay), nowMs)
-        if (isOwnDomain) outputs += mergeMembers(message).map { SyncOutput.MemberChanged(it) }
+        if (isOwnDomain) outputs += mergeMembers(message, nowMs).map { SyncOutput.MemberChanged(it) }
         if (data.digests.count { digests.put(it, nowMs) } > 0) outputs += SyncOutput.DigestsChanged(digests.all(nowMs))
         outputs += drainOutputs.mapNotNull { it.toSyncOutput() }
         return Absorbed(outputs, isConfigured || DrainOutput.Spread in drainOutputs)
     }
 
-    private fun mergeMembers(message: SyncMessage): List<Member> {
+    private fun mergeMembers(
+        message: SyncMessage,
+        nowMs: Long,
+    ): List<Member> {
         val sender = message.sender
         val isSameTable = sender.memberHash == members.hash
         val row = MemberRow(sender.incarnation, sender.heartbeat, sender.revision, sender.isLeaving)
         val changed = mutableListOf(members.merge(sender.instance, row))
         message.data.members.mapTo(changed) { (id, it) -> if (id == settings.self) null else members.merge(id, it) }
         if (isSameTable) {
+            if (message is SyncMessage.Reply && message.data.heartbeats.isNotEmpty()) heartbeatsMs = nowMs
             message.data.heartbeats.mapTo(changed) { (id, it) ->
                 if (id == settings.self) null else members.mergeHeartbeat(id, it)
             }
@@ -126,17 +133,22 @@
             .mapValues { (id, it) -> rows.getValue(id).copy(heartbeat = it) }
     }
 
-    /** The heartbeats that [peer] does not know; those of a large table less often, to keep within the traffic bound. */
-    fun heartbeatsFor(
+    /** Whether to ask [peer] for heartbeats: of a large table less often, to keep within the traffic bound. */
+    fun wantsHeartbeats(
         peer: PeerState,
         nowMs: Long,
+    ): Boolean =
+        peer.peer.failureDomain == settings.failureDomain &&
+            nowMs - heartbeatsMs >= members.size * HEARTBEAT_MS_PER_ROW
+
+    /** The heartbeats that are ahead of what [peer] knows by [minAdvance] at least. */
+    fun heartbeatsFor(
+        peer: PeerState,
+        minAdvance: Long,
     ): Map<InstanceId, Long> {
-        val rows = members.rows
-        val isDue = nowMs - peer.heartbeatsMs >= rows.size * HEARTBEAT_MS_PER_ROW
-        if (peer.known?.memberHash != members.hash || !isDue) return emptyMap()
-        peer.heartbeatsMs = nowMs
-        return rows
-            .filter { (id, row) -> id != settings.self && id != peer.instance && peer.isNewTo(id, row) }
+        if (peer.known?.memberHash != members.hash) return emptyMap()
+        return members.rows
+            .filter { (id, row) -> id != settings.self && id != peer.instance && peer.isNewTo(id, row, minAdvance) }
             .mapValues { it.value.heartbeat }
     }
 }
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncTimes.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncTimes.kt
@@ -20,8 +20,14 @@
 /** Other peers are asked for a digest only when the coordinator has failed to give it. */
 internal const val DIGEST_RELAY_MS = 2_000L
 
-/** With 50 members their heartbeats go to each member once a second, which is about 0.8 KB. */
-internal const val HEARTBEAT_MS_PER_ROW = 20L
+/** With 50 members an instance asks for their heartbeats once a second, which is about 0.8 KB. */
+internal const val HEARTBEAT_MS_PER_ROW = 15L
+
+/** Two to four heartbeats a second make this the advance of 1.5 to 3 s. */
+internal const val STALE_HEARTBEATS = 6L
+
+/** Large digests are asked for later, to keep within this rate, but never later than [DIGEST_RELAY_MS]. */
+internal const val DIGEST_BYTES_PER_MS = 2.5
 
 const val SUSPECTED_MS = 3_000L
 const val DEAD_MS = 6_000L
--- a/state/src/test/kotlin/samphirechute/state/lease/DomainLeaseSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/lease/DomainLeaseSpec.kt
@@ -115,6 +115,19 @@
         }
     }
 
+    @Nested
+    inner class Contention {
+        /** Guards against many voters that compete so long that a domain is without a coordinator for over 4 s. */
+        @Test
+        fun `a domain of 51 voters that starts at once has a holder in 4 s`() {
+            for (seed in 1L..10L) {
+                val world = LeaseWorld(seed, size = 51)
+                world.run(4_000)
+                assertEquals(1, world.holders().size, "seed $seed")
+            }
+        }
+    }
+
     @Nested
     inner class Knowledge {
         /** Guards against instances that know the holder only after its next renewal, or not its address. */
