--- a/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
@@ -60,7 +60,7 @@
     /** The number of the latest message with grants, to drop those that were overtaken or repeated. */
     var grantsHeartbeat = 0L
 
-    /** The rows whose heartbeat this peer knows, as far as is known here. */
+    /** The rows that this peer told. What was sent to it does not count, since it may have been lost. */
     private val told = mutableMapOf<InstanceId, MemberRow>()
 
     fun isRecent(nowMs: Long) = nowMs - lastExchangeMs < RECENT_EXCHANGE_MS
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncExchange.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncExchange.kt
@@ -94,7 +94,6 @@
                 state.wantedDigests(peer, coordinator, nowMs),
                 state.wantsHeartbeats(peer, nowMs),
             )
-        peer.noteTold(state.rowsOf(message))
         outputs += SyncOutput.Send(peer.instance, message)
     }
 
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
@@ -151,9 +151,7 @@
         }
         var data = state.lackedBy(peer, nowMs, ask.wantedDigests)
         if (ask.wantsHeartbeats) data = data.copy(heartbeats = state.heartbeatsFor(peer, minAdvance = 1))
-        val reply = SyncMessage.Reply(state.sender(), data)
-        peer.noteTold(state.rowsOf(reply))
-        outputs += SyncOutput.Answer(reply)
+        outputs += SyncOutput.Answer(SyncMessage.Reply(state.sender(), data))
         // The sender has something that this instance lacks.
         val isBehind =
             state.configuration.revision < ask.sender.revision || drains.record.version < ask.sender.drainVersion
