--- a/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/PeerTable.kt
@@ -48,7 +48,6 @@
     /** The sender part of its latest message. */
     var known: SyncSender? = null
     var lastExchangeMs = Long.MIN_VALUE / 2
-    var heartbeatsMs = Long.MIN_VALUE / 2
     var askedMs: Long? = null
     var failures = 0
 
@@ -61,7 +60,7 @@
     /** The number of the latest message with grants, to drop those that were overtaken or repeated. */
     var grantsHeartbeat = 0L
 
-    /** The rows whose heartbeat this peer knows, as far as is known here. */
+    /** The rows that this peer told. What was sent to it does not count, since it may have been lost. */
     private val told = mutableMapOf<InstanceId, MemberRow>()
 
     fun isRecent(nowMs: Long) = nowMs - lastExchangeMs < RECENT_EXCHANGE_MS
@@ -74,7 +73,8 @@
     fun isNewTo(
         id: InstanceId,
         row: MemberRow,
-    ) = told[id]?.let { row.incarnation > it.incarnation || row.heartbeat > it.heartbeat } != false
+        minAdvance: Long = 1,
+    ) = told[id]?.let { row.incarnation > it.incarnation || row.heartbeat >= it.heartbeat + minAdvance } != false
 
     fun noteFailure() {
         askedMs = null
--- a/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/sync/SyncNode.kt
@@ -150,10 +150,8 @@
             outputs += SyncOutput.GrantsHeld(peer.instance, held.payload)
         }
         var data = state.lackedBy(peer, nowMs, ask.wantedDigests)
-        if (peer.isHome) data = data.copy(heartbeats = state.heartbeatsFor(peer, nowMs))
-        val reply = SyncMessage.Reply(state.sender(), data)
-        peer.noteTold(state.rowsOf(reply))
-        outputs += SyncOutput.Answer(reply)
+        if (ask.wantsHeartbeats) data = data.copy(heartbeats = state.heartbeatsFor(peer, minAdvance = 1))
+        outputs += SyncOutput.Answer(SyncMessage.Reply(state.sender(), data))
         // The sender has something that this instance lacks.
         val isBehind =
             state.configuration.revision < ask.sender.revision || drains.record.version < ask.sender.drainVersion
