--- a/core/src/main/kotlin/samphirechute/core/settings/DaemonSettings.kt
+++ b/core/src/main/kotlin/samphirechute/core/settings/DaemonSettings.kt
@@ -41,10 +41,13 @@
     override fun toString() = "AccessKeys(***)"
 }
 
-/** Bounds on what one instance takes in. */
+/**
+ * Bounds on what one instance takes in. A buffered byte takes several bytes of heap while its request is read and passed
+ * on, so [maxBufferedBytes] is a small part of the heap of 48 MB that `bin/samphirechuted` gives.
+ */
 data class LimitSettings(
     val maxBodyBytes: Int = 8 * 1024 * 1024,
-    val maxBufferedBytes: Long = 16L * 1024 * 1024,
+    val maxBufferedBytes: Long = 8L * 1024 * 1024,
     val maxHeadBytes: Int = 16 * 1024,
     val maxConnections: Int = 4_096,
     val stopLimitMs: Long = 600_000,
--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
@@ -1,8 +1,10 @@
 package samphirechute.daemon.upstream
 
 import io.netty.buffer.ByteBuf
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.encodeToStream
 import samphirechute.core.HostPort
 import samphirechute.core.RequestId
 import samphirechute.core.engine.CancelBody
@@ -36,7 +38,7 @@
                 work.grant.primary.address,
                 "POST",
                 "/v1/generate",
-                json.encodeToString(GenerateBody.serializer(), body(work)).encodeToByteArray(),
+                encode(body(work)),
                 useFreshConnection = work.useFreshConnection,
             )
         return EngineAttempt(listener).also { it.call = client.send(request, it) }
@@ -50,6 +52,14 @@
         grant.parts.forEach { cancelAt(client, it.address, requestId, attempt) }
     }
 
+    /** Writes UTF-8 directly: a string in between takes several times the memory of a long prompt. */
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun encode(body: GenerateBody): ByteArray {
+        val bytes = ByteArrayOutputStream(prompt.length + HEAD_BYTES)
+        json.encodeToStream(GenerateBody.serializer(), body, bytes)
+        return bytes.toByteArray()
+    }
+
     private fun body(work: UpstreamWork) =
         GenerateBody(
             requestId = work.requestId,
@@ -147,6 +157,9 @@
     companion object {
         private const val OK = 200
         private const val MAX_LINE_BYTES = 64 * 1024
+
+        /** Room for the fields beside the prompt, so that the buffer of a plain prompt does not grow. */
+        private const val HEAD_BYTES = 1_024
         private const val CANCEL_TIMEOUT_MS = 2_000L
         private val json = Json { ignoreUnknownKeys = true }
 
