--- a/routing/src/test/kotlin/samphirechute/routing/flow/FlowClaimsSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/FlowClaimsSpec.kt
@@ -11,6 +11,17 @@
 class FlowClaimsSpec : FlowFixture() {
     @Nested
     inner class Claims {
+        /** Guards against an unknown outcome only because a pooled connection had gone silent. */
+        @Test
+        fun `only a non-repeatable request uses a fresh connection at its first attempt`() {
+            for (isNonRepeatable in listOf(false, true)) {
+                val flow = flow(isNonRepeatable).apply { feed(0L to FlowInput.Started) }
+                flow.handle(FlowInput.ClaimAnswered(ClaimAnswer.Accepted), 0)
+                val dispatch = assertIs<FlowOutput.Dispatch>(flow.handle(FlowInput.Granted(grant(1)), 0).single())
+                assertEquals(isNonRepeatable, dispatch.useFreshConnection)
+            }
+        }
+
         /** Guards against "not run" for a request that another instance is running. */
         @Test
         fun `a request that runs elsewhere is waited for until the deadline and is never called not run`() {
@@ -56,6 +67,17 @@
             }
         }
 
+        /** Guards against "not run" for a request that was answered in part, should its first byte not be reported. */
+        @Test
+        fun `an answer proves that the request was sent`() {
+            for (input in listOf(tokens(1, 0), FlowInput.AnswerEnded(1, "r2", 0))) {
+                val flow = flow(isNonRepeatable = true).apply { feed(0L to FlowInput.Started) }
+                flow.feed(1L to FlowInput.ClaimAnswered(ClaimAnswer.Accepted), 2L to FlowInput.Granted(grant(1)))
+                val outputs = flow.handle(input, 10) + flow.handle(FlowInput.Ticked, 60_000)
+                assertEquals(RunState.UNKNOWN, outcome(outputs).runState, "$input")
+            }
+        }
+
         /** Guards against "not run" when the flow hears of the first byte only at the deadline. */
         @Test
         fun `bytes sent count even when they are reported at the deadline`() {
--- a/routing/src/test/kotlin/samphirechute/routing/flow/RequestFlowSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/RequestFlowSpec.kt
@@ -168,7 +168,9 @@
             val waiting = RequestFlow(FlowRequest(RequestId("r1"), 1_000, leastRunMs = 300), budget, health)
             waiting.handle(FlowInput.Started, 0)
             assertEquals(701, waiting.nextDueMs)
-            assertEquals(RunState.NOT_RUN, outcome(waiting.handle(FlowInput.Ticked, 701)).runState)
+            val withdrawn = waiting.handle(FlowInput.Ticked, 701)
+            assertEquals<FlowOutput>(FlowOutput.WithdrawGrant(1), withdrawn.first())
+            assertEquals(RunState.NOT_RUN, outcome(withdrawn).runState)
         }
     }
 
