Pass over a failure domain that is far slower than another

Cause: after its return a domain is cold and a queue of seconds formed in it while the others had room; small teams still waited for a slot.

--- a/routing/src/main/kotlin/samphirechute/routing/DomainChooser.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/DomainChooser.kt
@@ -7,8 +7,8 @@
 import samphirechute.routing.DomainChooser.Companion.STALE_MS
 
 /**
- * Chooses the failure domain whose coordinator an instance asks for a grant: its own first, and after a refusal for
- * lack of capacity one other, by headroom. A domain that is drained, has no coordinator or has not been heard of for
+ * Chooses the failure domain whose coordinator an instance asks for a grant: its own first, unless another predicts a
+ * far earlier first token, and after a refusal for lack of capacity one other, by headroom. A domain that is drained, has no coordinator or has not been heard of for
  * [STALE_MS] is left out.
  */
 class DomainChooser(
@@ -38,13 +38,36 @@
         tried: List<FailureDomain>,
         nowMs: Long,
     ): DomainTarget? {
-        if (tried.isEmpty()) targetOf(ownDomain, request.pool, nowMs)?.let { return it }
-        if (tried.any { it != ownDomain }) return null
-        return known.keys
+        if (tried.isEmpty()) {
+            val own = targetOf(ownDomain, request.pool, nowMs)
+            val other = bestOther(request, tried, nowMs)
+            if (own != null && (other == null || !isFarSlower(own, other, request))) return own
+            return other ?: own
+        }
+        // After one other domain only the own one is left, if it was passed over.
+        if (tried.any { it != ownDomain }) {
+            return if (ownDomain in tried) null else targetOf(ownDomain, request.pool, nowMs)
+        }
+        return bestOther(request, tried, nowMs)
+    }
+
+    private fun bestOther(
+        request: GrantRequest,
+        tried: List<FailureDomain>,
+        nowMs: Long,
+    ): DomainTarget? =
+        known.keys
             .filter { it != ownDomain && it !in tried }
             .mapNotNull { targetOf(it, request.pool, nowMs) }
             .minWithOrNull(byHeadroom(request.promptTokens + request.maxTokens))
-    }
+
+    /** A domain that has just returned is cold: a queue forms in it while the other domains have room. */
+    private fun isFarSlower(
+        own: DomainTarget,
+        other: DomainTarget,
+        request: GrantRequest,
+    ) = own.digest.firstTokenMs > other.digest.firstTokenMs + FAR_SLOWER_MS &&
+        other.digest.freeTokens >= request.promptTokens + request.maxTokens
 
     private fun targetOf(
         domain: FailureDomain,
@@ -74,6 +97,9 @@
     }
 
     companion object {
+        /** Digests are up to a second old; a smaller difference would send all instances to one domain in turn. */
+        private const val FAR_SLOWER_MS = 500L
+
         /** Digests of the far side of a partition expire after this long. */
         const val STALE_MS = 3_000L
     }
