--- a/routing/src/main/kotlin/samphirechute/routing/DomainChooser.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/DomainChooser.kt
@@ -98,7 +98,7 @@
 
     companion object {
         /** Digests are up to a second old; a smaller difference would send all instances to one domain in turn. */
-        private const val FAR_SLOWER_MS = 500L
+        private const val FAR_SLOWER_MS = 1_000L
 
         /** Digests of the far side of a partition expire after this long. */
         const val STALE_MS = 3_000L
