Predict the wait for plain applications, and forget slow phases when idle

Cause: requests of plain applications counted no tokens, so that their queue was unbounded and refused nobody before the deadline; a slow phase could lead to the refusal of all requests for good, since nothing new was learned. Change: a request of an application counts as one token against concurrency and learned time; learned times do not count while nothing runs; a queue holds at most 4096 requests.

--- a/routing/src/main/kotlin/samphirechute/routing/ledger/Admission.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/Admission.kt
@@ -34,6 +34,7 @@
             return late(pool, waiting, pool.choices.leastPrefillMs(waiting, nowMs), any, nowMs)
         }
         val line = pool.line(kind) ?: return null
+        if (line.queue.size >= MAX_QUEUED) return Refusal(RefusalReason.QUEUE_FULL, QUEUE_FULL_RETRY_MS)
         val waitMs = line.queue.tokensAhead(waiting) / rate(pool, kind, nowMs)
         val prefillMs = pool.choices.leastPrefillMs(waiting, nowMs)
         // All short prompts face the same bound on the wait. With their own prefill instead, the queue would settle
@@ -76,7 +77,7 @@
         nowMs: Long,
     ): Refusal? {
         val firstLateMs = firstTokenMs - remaining(waiting, nowMs)
-        val answerMs = firstTokenMs + pool.expectedTokens(waiting) * upstream.expectedTokenMs
+        val answerMs = firstTokenMs + pool.expectedTokens(waiting) * upstream.predictedTokenMs
         val lateMs = maxOf(firstLateMs, answerMs - (waiting.doneByMs - nowMs))
         return if (lateMs <= 0) null else Refusal(RefusalReason.TOO_LATE, retry(lateMs))
     }
@@ -104,6 +105,8 @@
         /** The queue drains unevenly; a request admitted on the mean alone would be late half of the time. */
         const val WAIT_MARGIN = 1.25
         const val MIN_TOKENS_PER_MS = 1e-3
+        const val MAX_QUEUED = 4_096
+        const val QUEUE_FULL_RETRY_MS = 1_000L
         const val MIN_RETRY_MS = 50L
         const val MAX_RETRY_MS = 60_000L
         const val TOO_LARGE_RETRY_MS = 60_000L
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/PoolSummary.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/PoolSummary.kt
@@ -22,6 +22,8 @@
 
     private fun rateOf(upstream: UpstreamLedger): Double {
         val capacity = upstream.report.capacity
+        // A request of a plain application counts as one token.
+        if (!upstream.isEngine) return upstream.limit.concurrency * MS_PER_SECOND / maxOf(1.0, upstream.typicalMs)
         val part = upstream.limit.concurrency.toDouble() / maxOf(1, capacity.maxConcurrency)
         return capacity.prefillTokensPerSecond * minOf(1.0, part) / upstream.limit.slowness
     }
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/RequestDesk.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/RequestDesk.kt
@@ -29,7 +29,9 @@
         if (!epoch.isHeld) return refuse(request.key, NOT_COORDINATOR, out)
         val pool = pools.getOrPut(request.pool) { PoolLedger(request.pool, prefixes, limits) }
         if (pool.isQueued(request.key)) return
-        val waiting = Waiting(request, nowMs, request.promptTokens + request.maxTokens / COST_OF_ANSWER)
+        val areEngines = pool.summary(nowMs).areEngines
+        val cost = if (areEngines) request.promptTokens + request.maxTokens / COST_OF_ANSWER else 1L
+        val waiting = Waiting(request, nowMs, cost)
         unservable(pool, request, nowMs)?.let { return refuse(request.key, it, out) }
         val kind = pool.kindOf(waiting, nowMs)
         waiting.isBelowShare = pool.line(kind)?.queue?.isBelowShare(waiting) ?: false
--- a/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamLedger.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamLedger.kt
@@ -49,6 +49,12 @@
     var typicalMs = 0.0
         private set
 
+    /**
+     * The time between tokens that a new request will see. What was learned in a slow phase does not count while
+     * nothing runs, or requests would be refused for it and nothing new learned.
+     */
+    val predictedTokenMs: Double get() = if (running == 0) report.capacity.decodeStepMs else expectedTokenMs
+
     val expectedTokenMs: Double get() = max(tokenMs, report.capacity.decodeStepMs)
 
     private val parts = HashMap<GrantKey, LeasedPart>()
@@ -91,7 +97,9 @@
     fun allWaitMs(nowMs: Long) = max(0.0, allDoneMs - nowMs)
 
     /** Prefill of [tokens] alone, and the step that gives the first token. */
-    fun firstTokenMs(tokens: Long) = if (isEngine) prefillMs(tokens) + expectedTokenMs else typicalMs
+    fun firstTokenMs(tokens: Long) = if (isEngine) prefillMs(tokens) + predictedTokenMs else predictedTypicalMs
+
+    private val predictedTypicalMs: Double get() = if (running == 0) 0.0 else typicalMs
 
     fun isPrefillingLong(nowMs: Long) = longParts > 0 && allDoneMs > nowMs
 
--- a/routing/src/test/kotlin/samphirechute/routing/ledger/DomainLedgerSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/ledger/DomainLedgerSpec.kt
@@ -249,5 +249,35 @@
             val next = fixture.release(asked[0].single(), GrantEnding.COMPLETED)
             assertEquals(listOf("r2"), next.grantedIds)
         }
+
+        /** Guards against requests that wait until their deadline although the queue shows that it will pass. */
+        @Test
+        fun `refuses a request at once when the queue is too long`() {
+            val capacity = UpstreamCapacity(maxConcurrency = 1, coldConcurrency = 1)
+            val fixture = LedgerFixture(capacity = capacity, kind = UpstreamKind.APPLICATION)
+            fixture.release(fixture.ask(request("slow", maxTokens = 0)).grants.single(), firstTokenMs = 1_000)
+            fixture.advance(100)
+            val asked = List(12) { fixture.ask(request("r$it", maxTokens = 0, firstTokenMs = 5_000)) }
+            val refused = asked.flatMap { it.refusals }
+            assertTrue(refused.size in 6..9, "$refused")
+            assertEquals(setOf(RefusalReason.TOO_LATE), refused.map { it.reason }.toSet())
+        }
+
+        /** Guards against a slow phase that leads to the refusal of all requests for good. */
+        @Test
+        fun `tries an idle application again after it was slow`() {
+            val capacity = UpstreamCapacity(maxConcurrency = 2, coldConcurrency = 2)
+            val fixture = LedgerFixture(capacity = capacity, kind = UpstreamKind.APPLICATION)
+            fixture.release(fixture.ask(request("slow", maxTokens = 0)).grants.single(), firstTokenMs = 20_000)
+            assertEquals(listOf("next"), fixture.ask(request("next", maxTokens = 0)).grantedIds)
+            assertEquals(
+                RefusalReason.TOO_LATE,
+                fixture
+                    .ask(request("beside", maxTokens = 0))
+                    .refusals
+                    .single()
+                    .reason,
+            )
+        }
     }
 }
