--- a/bench/src/main/kotlin/samphirechute/bench/Main.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/Main.kt
@@ -14,21 +14,27 @@
 import samphirechute.bench.routing.MemoryBench
 import samphirechute.bench.routing.MixBench
 import samphirechute.bench.routing.OverloadBench
+import samphirechute.bench.store.Claims
+import samphirechute.bench.store.Recover
+import samphirechute.bench.sync.MembersBench
 import kotlin.system.exitProcess
 
 /** The benches by name, one line each. */
 private val BENCHES: Map<String, () -> Bench> =
     mapOf(
+        "claims" to { Bench { seed, _ -> Claims.run(seed, ::println) } },
         "cold" to ::ColdBench,
         "decide" to ::DecideBench,
         "domain" to ::DomainBench,
         "fair" to ::FairBench,
         "footprint" to ::FootprintBench,
+        "members" to { Bench { seed, _ -> MembersBench.run(seed, ::println) } },
         "memory" to ::MemoryBench,
         "mix" to ::MixBench,
         "overload" to ::OverloadBench,
         "path" to ::PathBench,
         "publish" to ::PublishBench,
+        "recover" to { Bench { seed, _ -> Recover.run(seed, ::println) } },
     )
 
 private class BenchArguments {
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
@@ -7,6 +7,7 @@
 import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
 import samphirechute.core.UpstreamId
+import samphirechute.core.settings.DaemonSettings
 import samphirechute.core.settings.PeerSettings
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.peer.GrantReply
@@ -40,12 +41,11 @@
     private val peerClient: PeerClient,
 ) {
     private val settings = runtime.settings
-    private val voters: Map<InstanceId, PeerSettings> =
-        (settings.peers + settings.self)
-            .filter {
-                it.failureDomain == settings.failureDomain
-            }.associateBy { it.instance }
-    private val lease = DomainLease(leaseSettings(), Random(runtime.incarnation))
+    private val voters: Map<InstanceId, PeerSettings> = votersOf(settings).associateBy { it.instance }
+
+    /** Null on an instance that is no voter; it learns the coordinator by synchronisation. */
+    private val lease =
+        if (settings.instance in voters) DomainLease(leaseSettings(), Random(runtime.incarnation)) else null
     private val ledger = DomainLedger()
     private val waiting = HashMap<GrantKey, (GrantReply) -> Unit>()
     private val reports = HashMap<UpstreamId, UpstreamReport>()
@@ -53,8 +53,8 @@
 
     var onHolderChanged: (LeaseHolder?) -> Unit = {}
 
-    val holder: LeaseHolder? get() = lease.holder
-    val isCoordinator: Boolean get() = isActive && lease.isHolding(runtime.nowMs)
+    val holder: LeaseHolder? get() = lease?.holder
+    val isCoordinator: Boolean get() = isActive && lease?.isHolding(runtime.nowMs) == true
 
     fun start() {
         runtime.timer.every(TICK_MS, ::tick)
@@ -106,7 +106,7 @@
 
     fun received(envelope: LeaseEnvelope): LeaseMessage? {
         var answer: LeaseMessage? = null
-        for (output in lease.handle(LeaseInput.Received(envelope.from, envelope.message), runtime.nowMs)) {
+        for (output in lease?.handle(LeaseInput.Received(envelope.from, envelope.message), runtime.nowMs).orEmpty()) {
             if (output is LeaseOutput.Answer) answer = output.message else execute(output)
         }
         return answer
@@ -126,10 +126,12 @@
         if (isActive) feed(LedgerInput.Ticked)
     }
 
-    private fun feed(input: LeaseInput) = lease.handle(input, runtime.nowMs).forEach(::execute)
+    private fun feed(input: LeaseInput) {
+        lease?.handle(input, runtime.nowMs)?.forEach(::execute)
+    }
 
     private fun feed(input: LedgerInput) {
-        if (isActive && !lease.isHolding(runtime.nowMs)) feed(LeaseInput.Ticked)
+        if (isActive && !isCoordinator) feed(LeaseInput.Ticked)
         ledger.handle(input, runtime.nowMs).forEach(::execute)
     }
 
@@ -218,3 +220,17 @@
         const val RETRY_MS = 1_000L
     }
 }
+
+/**
+ * The voters of the own failure domain: those with a disk first, then by name, up to [MAX_VOTERS]. The holder renews
+ * its lease with each voter, so their number bounds its traffic; all instances must come to the same voters.
+ */
+private fun votersOf(settings: DaemonSettings): List<PeerSettings> =
+    (settings.peers + settings.self)
+        .distinctBy { it.instance }
+        .filter { it.failureDomain == settings.failureDomain }
+        .sortedWith(compareBy({ !it.isStore }, { it.instance }))
+        .take(MAX_VOTERS)
+
+/** Three of seven may be lost at once, as with two of the five that a failure domain has today. */
+private const val MAX_VOTERS = 7
--- a/daemon/src/main/kotlin/samphirechute/daemon/operator/Views.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/operator/Views.kt
@@ -97,7 +97,7 @@
         val own = coordinator.holder
         return (settings.peers + settings.self).map { it.failureDomain }.distinct().sorted().map { domain ->
             when {
-                domain == settings.failureDomain -> DomainView(domain, own?.instance, own?.epoch ?: 0)
+                domain == settings.failureDomain && own != null -> DomainView(domain, own.instance, own.epoch)
                 else -> DomainView(domain, digests[domain]?.coordinator, digests[domain]?.epoch ?: 0)
             }
         }
--- a/daemon/src/test/kotlin/samphirechute/daemon/ClusterFixture.kt
+++ b/daemon/src/test/kotlin/samphirechute/daemon/ClusterFixture.kt
@@ -139,6 +139,12 @@
         path: String,
     ): HttpResponse<String> = send(HttpRequest.newBuilder(URI("http://$address$path")).GET())
 
+    fun postAt(
+        address: HostPort,
+        path: String,
+    ): HttpResponse<String> =
+        send(HttpRequest.newBuilder(URI("http://$address$path")).POST(HttpRequest.BodyPublishers.noBody()))
+
     fun post(
         index: Int,
         path: String,
