--- a/state/src/test/kotlin/samphirechute/state/store/StoreStateSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/store/StoreStateSpec.kt
@@ -12,42 +12,16 @@
 import samphirechute.core.UpstreamId
 import samphirechute.core.service.ServiceSpec
 import samphirechute.core.service.ServiceTarget
-import samphirechute.state.command.ClaimKey
-import samphirechute.state.command.ClaimResult
-import samphirechute.state.command.ClaimState
 import samphirechute.state.command.Claimant
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
 import samphirechute.state.command.DrainTarget
 import samphirechute.state.command.StoreMember
-import samphirechute.state.command.Timed
 import samphirechute.state.command.UpstreamOrder
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.test.assertIs
-
-class StoreStateSpec {
-    private var state = StoreState()
-    private val key = ClaimKey(TeamName("t"), ServiceName("s"), RequestId("r"))
-    private val first = Claimant(InstanceId("a"), 1)
-    private val other = Claimant(InstanceId("b"), 1)
-    private val answer = ClaimResult(200, "text/plain", "done")
-
-    private fun apply(
-        atMs: Long,
-        command: Command,
-    ): CommandResult {
-        val applied = state.apply(state.index + 1, Timed(atMs, command))
-        state = applied.state
-        return applied.result
-    }
-
-    private fun claim(
-        by: Claimant = first,
-        digest: String = "d",
-        deadlineMs: Long = 1_000,
-    ) = Command.ClaimRequest(key, digest, by, deadlineMs)
 
+internal class StoreStateSpec : StateFixture() {
     private fun publish(
         id: String,
         base: Long,
@@ -63,115 +37,6 @@
             deadlineMs = 1,
         )
 
-    private fun check(rows: List<Triple<Long, Command, CommandResult>>) =
-        rows.forEachIndexed {
-            row,
-            (atMs, command, expected),
-            ->
-            assertEquals(expected, apply(atMs, command), "row $row: $command")
-        }
-
-    private fun state(of: ClaimState) = CommandResult.Claim(of)
-
-    private fun assertRejected(
-        code: String,
-        atMs: Long,
-        command: Command,
-    ) {
-        val before = state
-        assertEquals(code, assertIs<CommandResult.Rejected>(apply(atMs, command)).code)
-        assertEquals(before.copy(index = state.index, atMs = state.atMs), state)
-    }
-
-    @Nested
-    inner class Claims {
-        private val running = state(ClaimState.Running(first, 1_000))
-
-        /** Guards against a second run of a request that must run at most once. */
-        @Test
-        fun `a resend finds what the table of the design says`() {
-            val tables: List<Pair<List<Command>, List<Triple<Long, Command, CommandResult>>>> =
-                listOf(
-                    emptyList<Command>() to
-                        listOf(
-                            Triple(1L, claim(), running),
-                            Triple(6_000L, claim(other), running),
-                            Triple(6_000L, claim(other, digest = "e"), state(ClaimState.OtherBody)),
-                            Triple(6_001L, claim(other), state(ClaimState.Unknown)),
-                        ),
-                    listOf(Command.FinishClaim(key, first, answer)) to
-                        listOf(Triple(9_000L, claim(other), state(ClaimState.Finished(answer)))),
-                    listOf(Command.FinishClaim(key, first, answer.copy(isUnknown = true))) to
-                        listOf(Triple(2L, claim(other), state(ClaimState.Unknown))),
-                    listOf(Command.ReleaseClaim(key, first)) to
-                        listOf(Triple(2L, claim(other), state(ClaimState.Accepted))),
-                    listOf(Command.RecordIncarnation(first.copy(incarnation = 2))) to
-                        listOf(Triple(2L, claim(other), state(ClaimState.Unknown))),
-                    listOf(claim(first.copy(incarnation = 2))) to
-                        listOf(Triple(2L, claim(other), state(ClaimState.Unknown))),
-                )
-            for ((before, rows) in tables) {
-                state = StoreState()
-                assertEquals(state(ClaimState.Accepted), apply(1, claim()))
-                before.forEach { apply(1, it) }
-                check(rows)
-            }
-        }
-
-        /** Guards against an outcome or a release that comes from anyone but the holder of the claim. */
-        @Test
-        fun `only the claimant itself changes its claim, also late`() {
-            assertRejected("claim_not_held", 1, Command.FinishClaim(key, first, answer))
-            apply(1, claim())
-            for (stranger in listOf(other, first.copy(incarnation = 2))) {
-                assertRejected("claim_not_held", 1, Command.FinishClaim(key, stranger, answer))
-                assertRejected("claim_not_held", 1, Command.ReleaseClaim(key, stranger))
-            }
-            assertEquals(state(ClaimState.Unknown), apply(9_000, claim(other)))
-            assertEquals(CommandResult.Done, apply(9_000, Command.FinishClaim(key, first, answer)))
-            assertEquals(CommandResult.Done, apply(9_000, Command.FinishClaim(key, first, answer.copy(body = "other"))))
-            assertEquals(state(ClaimState.Finished(answer)), apply(9_000, claim(other)))
-            assertRejected("claim_finished", 9_000, Command.ReleaseClaim(key, first))
-        }
-
-        /** Guards against a claim that a process takes after its successor has started. */
-        @Test
-        fun `an outdated or impossible claim is refused`() {
-            apply(1, Command.RecordIncarnation(first.copy(incarnation = 2)))
-            assertRejected("stale_incarnation", 1, claim())
-            assertRejected("stale_incarnation", 1, Command.RecordIncarnation(first))
-            assertRejected("deadline_too_far", 1, claim(other, deadlineMs = StoreLimits.DAY_MS + 2))
-            assertRejected("deadline_passed", 6_001, claim(other))
-        }
-
-        /** Guards against answers that fill the memory of every member. */
-        @Test
-        fun `answers are kept up to their bounds, oldest dropped first`() {
-            state = StoreState(limits = StoreLimits(maxAnswerBytes = 4, maxKeptAnswerBytes = 10, maxClaims = 5))
-            val keys = (1..5).map { key.copy(requestId = RequestId("r$it")) }
-            val bodies = listOf("1234", "éé", "12345", "1234", "1")
-            keys.zip(bodies).forEach { (key, body) ->
-                apply(1, Command.ClaimRequest(key, "d", first, 1_000))
-                apply(1, Command.FinishClaim(key, first, answer.copy(body = body)))
-            }
-            assertEquals(listOf(null, "éé", null, "1234", "1"), keys.map { state.claims[it]?.result?.body })
-            assertEquals(9, state.keptAnswerBytes)
-            assertRejected("claims_full", 1, claim())
-        }
-
-        /** Guards against a claim that is forgotten while a resend may still come, or is kept forever. */
-        @Test
-        fun `a claim expires a day after it was given`() {
-            apply(1, claim(deadlineMs = StoreLimits.DAY_MS))
-            val endMs = 1 + StoreLimits.DAY_MS + 5_000
-            assertEquals(state(ClaimState.Running(first, StoreLimits.DAY_MS)), apply(StoreLimits.DAY_MS, claim(other)))
-            apply(endMs, Command.Noop)
-            assertEquals(1, state.claims.size)
-            apply(endMs + 1, Command.Noop)
-            assertEquals(0, state.claims.size)
-        }
-    }
-
     @Nested
     inner class Config {
         /** Guards against two winners on one base revision, and against a resend that publishes twice. */
