--- a/routing/src/test/kotlin/samphirechute/routing/flow/RequestFlowSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/RequestFlowSpec.kt
@@ -113,17 +113,27 @@
             assertEquals(List(10) { null } + List(20) { FlowCode.UPSTREAM_FAILED }, codes)
         }
 
+        /** Guards against a budget that stays at its floor however much an instance does. */
+        @Test
+        fun `are allowed for a tenth of the answers as well`() {
+            repeat(100) { sent().feed(100L to tokens(1, 0), 110L to FlowInput.AnswerEnded(1, "r1", 1)) }
+            assertEquals(20, (1..50).count { budget.tryTake(200) })
+        }
+
         /** Guards against an instance that sends each new request to an upstream that it knows to be silent. */
         @Test
         fun `other requests avoid the upstream until one of them has probed it`() {
             sent().feed(1_600L to FlowInput.Ticked)
-            val excluded = { id: String, atMs: Long ->
-                val asked = flow(id = id).handle(FlowInput.Started, atMs).single()
+            val excluded = { flow: RequestFlow, atMs: Long ->
+                val asked = flow.handle(FlowInput.Started, atMs).single()
                 assertIs<FlowOutput.AskGrant>(asked).excluded.map { it.value }
             }
-            assertEquals(listOf("e1"), excluded("r2", 2_500))
-            assertEquals(emptyList(), excluded("r3", 2_600))
-            assertEquals(listOf("e1"), excluded("r4", 2_600))
+            assertEquals(listOf("e1"), excluded(flow(id = "r2"), 2_500))
+            val prober = flow(id = "r3")
+            assertEquals(emptyList(), excluded(prober, 2_600))
+            assertEquals(listOf("e1"), excluded(flow(id = "r4"), 2_600))
+            prober.handle(FlowInput.Granted(grant(1, upstream = "e2")), 2_610)
+            assertEquals(emptyList(), excluded(flow(id = "r5"), 2_620), "the prober was sent elsewhere")
         }
 
         /** Guards against a request that fails although a new coordinator is about to be elected. */
