--- a/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/ledger/UpstreamChoice.kt
@@ -157,7 +157,7 @@
         const val MAX_SEEN = 8
 
         /** Left free for teams below their share, which would otherwise wait for one of a flood to complete. */
-        const val RESERVED_SLOTS = 2
+        const val RESERVED_SLOTS = 3
         const val MIN_FOR_RESERVE = 16
 
         /** Each running sequence lengthens the step of its engine a little; this also spreads ties. */
