Write large bodies in slices, and tell refusals and lost changes truthfully

Cause, from load trials and reading: a body was copied whole into direct memory, so two prompts of 4 MB at once failed attempts and took 10 to 22 s; a client that was still sending lost the answer that refused it; a document whose record may be committed was refused as not run; a plain service's refusal was passed on as an answer that ran; the first tick after a pause for a slow caller could count as silence.

Change: bodies go out in 32 KB slices as the channel takes them; a refused connection is closed on our side first; the outcome of an append that timed out is undecided; a refusal that names its request is one; reading that resumes is told to the flow.

--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/RequestRunner.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/RequestRunner.kt
@@ -224,6 +224,7 @@
     private fun resume() {
         if (!isPaused || isFinished) return
         setPaused(false)
+        feed(FlowInput.ReadingResumed)
     }
 
     /** One timer follows the due time; it is only moved when the due time comes nearer. */
@@ -255,7 +256,7 @@
             deadlineMs = deadlineMs,
             isNonRepeatable = draft.isNonRepeatable,
             runsOnWithoutCaller = runsOnWithoutCaller,
-            expectedTokens = draft.maxTokens,
+            expectedTokens = minOf(draft.maxTokens, EXPECTED_TOKENS),
         )
 
     private inner class RunningAttempt(
@@ -300,5 +301,8 @@
 
     private companion object {
         const val PAUSED_CHECK_MS = 1_000L
+
+        /** Most answers end before the maximum that their callers allow, so that is no estimate of their time. */
+        const val EXPECTED_TOKENS = 256L
     }
 }
--- a/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentIntake.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentIntake.kt
@@ -73,7 +73,16 @@
         id: String,
         result: StoreResult,
     ) {
-        val committed = result as? StoreResult.Committed ?: return exchange.refuse(NOT_DURABLE)
+        val committed =
+            when (result) {
+                is StoreResult.Committed -> result
+
+                is StoreResult.Unavailable if result.mayBeCommitted -> return exchange.refuse(
+                    RequestError.Undecided(true),
+                )
+
+                is StoreResult.Unavailable -> return exchange.refuse(NOT_DURABLE)
+            }
         val rejected = committed.result as? CommandResult.Rejected
         if (rejected != null) return exchange.refuse(RequestError.DocumentRejected(rejected.code, rejected.message))
         runtime.ring.record(
--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/ApplicationProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/ApplicationProtocol.kt
@@ -73,7 +73,13 @@
             result.fold({ answer(it) }, { listener.onFailure(it.toAttemptFailure()) })
         }
 
+        /** Only a refusal that names the request promises that it was not run; other errors are answers. */
+        private fun isRefusal(response: ClientResponse) =
+            refusal(response.status) == AttemptFailure.REFUSED &&
+                EngineProtocol.refusedRequest(response.body.decodeToString()) == work.requestId.value
+
         private fun answer(response: ClientResponse) {
+            if (isRefusal(response)) return listener.onFailure(AttemptFailure.REFUSED, work.requestId.value)
             val requestId = response.headers[REQUEST_ID.lowercase()] ?: work.requestId.value
             if (requestId != work.requestId.value) return listener.onFailure(AttemptFailure.GARBAGE)
             val contentType = response.headers["content-type"] ?: "application/octet-stream"
--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
@@ -175,7 +175,8 @@
         private const val CANCEL_TIMEOUT_MS = 2_000L
         private val json = Json { ignoreUnknownKeys = true }
 
-        private fun refusedRequest(text: String): String? =
+        /** The request that the body of a refusal names, or null. */
+        fun refusedRequest(text: String): String? =
             try {
                 json.decodeFromString(RefusalBody.serializer(), text).requestId
             } catch (_: SerializationException) {
--- a/daemon/src/test/kotlin/samphirechute/daemon/UpstreamFaultSpec.kt
+++ b/daemon/src/test/kotlin/samphirechute/daemon/UpstreamFaultSpec.kt
@@ -64,7 +64,7 @@
                         message = "$fault",
                     )
                 }
-                cluster.postAt(engine, "/control/fault?kind=none")
+                if (fault != UpstreamFault.DIE) cluster.postAt(engine, "/control/fault?kind=none")
             }
         }
 
--- a/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
+++ b/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
@@ -1,11 +1,11 @@
 package samphirechute.net
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -16,6 +16,7 @@
     private val listener: ResponseListener,
 ) : ClientCall {
     private var channel: Channel? = null
+    private var writer: BodyWriter? = null
     private var isDone = false
     private var isReading = true
 
@@ -28,7 +29,8 @@
         connected.connection().serve(this)
         connected.config().isAutoRead = isReading
         listener.onSending()
-        connected.writeAndFlush(message())
+        connected.write(head())
+        writer = BodyWriter(connected, request.body).also { it.resume() }
     }
 
     fun connectFailed(cause: Throwable?) =
@@ -68,10 +70,13 @@
         if (!isDone) channel?.config()?.isAutoRead = isReading
     }
 
-    private fun message(): DefaultFullHttpRequest {
-        val method = HttpMethod.valueOf(request.method)
-        val content = Unpooled.wrappedBuffer(request.body)
-        val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, request.path, content)
+    /** The connection takes more of the request. */
+    fun writable() {
+        if (!isDone) writer?.resume()
+    }
+
+    private fun head(): HttpRequest {
+        val message = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.path)
         message.headers()[HttpHeaderNames.HOST] = request.address.toString()
         if (request.body.isNotEmpty()) message.headers()[HttpHeaderNames.CONTENT_TYPE] = request.contentType
         HttpUtil.setContentLength(message, request.body.size.toLong())
--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -49,6 +49,11 @@
         if (message is LastHttpContent && call === current) ended(context, current)
     }
 
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) call?.writable()
+        context.fireChannelWritabilityChanged()
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         pool.remove(address, context.channel())
         val current = call
--- a/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -46,7 +47,7 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (context.channel().isWritable) active?.stream?.onWritable?.invoke()
+        if (context.channel().isWritable) active?.writable()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -158,7 +159,17 @@
         response.headers()[HttpHeaderNames.CONTENT_TYPE] = "application/json"
         response.headers()[HttpHeaderNames.CONNECTION] = "close"
         HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
-        context.writeAndFlush(response).addListener { context.close() }
+        context.writeAndFlush(response).addListener { linger(context) }
+    }
+
+    /**
+     * Closes only our side first. A client that is still sending would otherwise have its connection reset, and lose
+     * the answer that says why.
+     */
+    private fun linger(context: ChannelHandlerContext) {
+        context.channel().config().isAutoRead = true
+        (context.channel() as? DuplexChannel)?.shutdownOutput()
+        timeout = loop.timer.after(LINGER_MS) { context.close() }
     }
 
     private fun armTimeout(
@@ -178,6 +189,7 @@
         DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
 
     private companion object {
+        const val LINGER_MS = 2_000L
         val log = KeyValueLog("server")
     }
 }
--- a/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -25,6 +24,7 @@
         private set
     private val isKeepAlive = HttpUtil.isKeepAlive(reader.head)
     private val isHead = request.method == "HEAD"
+    private var writer: BodyWriter? = null
     private var isAnswered = false
     private var isEnded = false
 
@@ -36,11 +36,12 @@
     ) {
         if (isAnswered || isEnded) return
         isAnswered = true
-        val content = if (isHead) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(body)
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         setHeaders(response, contentType, headers)
         HttpUtil.setContentLength(response, body.size.toLong())
-        end(response)
+        context.write(response)
+        releaseBody()
+        writer = BodyWriter(context.channel(), if (isHead) EMPTY else body, ::ended).also { it.resume() }
     }
 
     override fun startStream(
@@ -62,6 +63,12 @@
 
     override fun releaseBody() = reader.discard()
 
+    /** The connection takes more of the answer. */
+    fun writable() {
+        writer?.resume()
+        stream?.onWritable?.invoke()
+    }
+
     /** The client has gone. */
     fun aborted() {
         if (isEnded) return
@@ -89,14 +96,17 @@
 
     private fun closesAfter() = !isKeepAlive || reader.head.protocolVersion() != HttpVersion.HTTP_1_1
 
-    private fun end(last: Any) {
+    private fun ended() {
         isEnded = true
         releaseBody()
-        val future = context.writeAndFlush(last)
-        if (closesAfter()) future.addListener(ChannelFutureListener.CLOSE)
+        if (closesAfter()) context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
         onFinished()
     }
 
+    private companion object {
+        val EMPTY = ByteArray(0)
+    }
+
     inner class Stream(
         private var isOpen: Boolean,
     ) : ResponseStream {
@@ -113,7 +123,8 @@
         override fun finish() {
             if (!isOpen || isEnded) return
             isOpen = false
-            end(LastHttpContent.EMPTY_LAST_CONTENT)
+            context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+            ended()
         }
 
         override fun abort() {
