--- a/daemon/src/main/kotlin/samphirechute/daemon/Main.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Main.kt
@@ -9,12 +9,14 @@
 import samphirechute.core.settings.effective
 import samphirechute.net.EventLoop
 import sun.misc.Signal
+import java.io.IOException
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
+private const val EXIT_START = 1
 
-/** Runs one instance until it is stopped. Exits with 2 when options or settings are not valid. */
+/** Runs one instance until it is stopped. Exits with 2 for invalid options or settings, with 1 when it cannot start. */
 fun main(args: Array<String>) {
     val options = parse(args)
     val settings = SettingsReader.read(Path.of(options.config)).fold({ it }, ::refuse)
@@ -47,9 +49,16 @@
 }
 
 private fun run(settings: DaemonSettings) {
-    val loop = EventLoop()
-    val daemon = Daemon(settings, loop, exit = { status -> Thread { exitProcess(status) }.start() })
-    daemon.start()
+    val daemon = start(settings)
     for (name in listOf("TERM", "INT")) Signal.handle(Signal(name)) { daemon.stopSignalled() }
     Thread.currentThread().join()
 }
+
+/** The usual reasons that a start fails are faults of the surroundings, which an operator can mend. */
+private fun start(settings: DaemonSettings): Daemon =
+    try {
+        Daemon(settings, EventLoop(), exit = { status -> Thread { exitProcess(status) }.start() }).apply { start() }
+    } catch (error: IOException) {
+        System.err.println("samphirechuted: cannot start on ${settings.listen}: ${error.message}")
+        exitProcess(EXIT_START)
+    }
--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/CallerApi.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/CallerApi.kt
@@ -6,7 +6,6 @@
 import samphirechute.core.service.ServiceMode
 import samphirechute.core.service.ServiceSpec
 import samphirechute.core.service.ServiceTarget
-import samphirechute.core.service.Urgency
 import samphirechute.daemon.document.DocumentIntake
 import samphirechute.daemon.document.DocumentRun
 import samphirechute.daemon.http.refuse
@@ -113,7 +112,6 @@
                     draft.prompt,
                     draft.promptTokens,
                     draft.maxTokens,
-                    priority(draft.service.urgency),
                 )
             }
 
@@ -139,13 +137,6 @@
             }
         }
 
-    private fun priority(urgency: Urgency) =
-        when (urgency) {
-            Urgency.INTERACTIVE -> 0
-            Urgency.NORMAL -> 1
-            Urgency.BACKGROUND -> 2
-        }
-
     private companion object {
         const val MS_PER_SECOND = 1_000
     }
--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
@@ -27,7 +27,6 @@
     private val prompt: String,
     private val promptTokens: Long,
     private val maxTokens: Long,
-    private val priority: Int,
 ) : UpstreamProtocol {
     override fun start(
         work: UpstreamWork,
@@ -78,7 +77,7 @@
             promptTokens = promptTokens,
             maxTokens = maxTokens,
             resumeOffset = work.resumeOffset,
-            priority = priority,
+            priority = work.grant.priority,
             deadlineMs = work.remainingMs,
             lenders =
                 work.grant.parts
