Read each upstream in small portions, and do not take a busy loop for silence

The log showed attempts given up as silent after 1.4 s: one read brought up to 1 MB of one stream, 70 ms of work, so the others waited for more than a second with their data unread. Ruled out: slow callers, which are not counted as silence.

Change: a connection to an upstream or peer is read 16 KB at a time, and a timer that fires 50 ms late lets the loop read before it judges. Ticks that need it only each 100 ms are no longer 50 ms apart.

--- a/bench/src/main/kotlin/samphirechute/bench/Main.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/Main.kt
@@ -5,6 +5,7 @@
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.Option
 import samphirechute.bench.process.FootprintBench
+import samphirechute.bench.process.GrantsBench
 import samphirechute.bench.process.PathBench
 import samphirechute.bench.process.PublishBench
 import samphirechute.bench.routing.ColdBench
@@ -28,6 +29,7 @@
         "domain" to ::DomainBench,
         "fair" to ::FairBench,
         "footprint" to ::FootprintBench,
+        "grants" to ::GrantsBench,
         "members" to { Bench { seed, _ -> MembersBench.run(seed, ::println) } },
         "memory" to ::MemoryBench,
         "mix" to ::MixBench,
--- a/bench/src/main/kotlin/samphirechute/bench/process/ProcessCluster.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/process/ProcessCluster.kt
@@ -29,6 +29,11 @@
     private val domains = (0 until count).map { "domain-${it % domainCount}" }
     val daemons = (0 until count).map { daemon(it, domainCount) }
 
+    init {
+        // A bench that is interrupted must not leave its daemons behind.
+        Runtime.getRuntime().addShutdownHook(Thread { daemons.filter { it.isAlive }.forEach { it.kill() } })
+    }
+
     fun awaitReady() =
         daemons.forEach { daemon ->
             await("${daemon.name} is ready") { get(daemon, "/readyz")?.status == OK }
@@ -78,7 +83,7 @@
     override fun close() {
         daemons.filter { it.isAlive }.forEach { it.kill() }
         loop.close()
-        folder.toFile().deleteRecursively()
+        if (System.getProperty(KEEP_LOGS) == null) folder.toFile().deleteRecursively()
     }
 
     private fun daemon(
@@ -111,6 +116,8 @@
     private fun address(index: Int) = HostPort("127.0.0.1", ports[index])
 
     companion object {
+        /** When set, the folders of the daemons with their logs stay after the bench. */
+        private const val KEEP_LOGS = "samphirechute.keepLogs"
         private const val DEFAULT_DOMAINS = 3
         private const val OK = 200
         private const val CALL_TIMEOUT_MS = 10_000L
--- a/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
@@ -39,6 +39,7 @@
 import samphirechute.net.HttpClient
 import samphirechute.net.HttpServer
 import samphirechute.net.ServerLimits
+import samphirechute.state.command.Command
 import samphirechute.state.command.DrainTarget
 import samphirechute.state.lease.LeaseHolder
 import samphirechute.state.sync.SyncInput
@@ -94,6 +95,8 @@
             documentLeader?.start()
             orders?.start()
             blobStore?.let(::cleanBlobs)
+            // Claims of an earlier life of this instance end as unknown at once, not at their deadline.
+            storeClient.propose(Command.RecordIncarnation(runtime.claimant), INCARNATION_TIMEOUT_MS) { }
         }
         JvmMetrics.builder().register(registry)
         TrafficMetrics.register(registry, runtime.client.traffic, server.traffic)
@@ -124,6 +127,7 @@
         sync.onUndrainSettled = drains::undrainSettled
         store?.onConfiguration = { sync.feed(SyncInput.ConfigurationCommitted(it)) }
         store?.onDrainRecord = { sync.feed(SyncInput.DrainEvent(it)) }
+        store?.onStopped = { exit(EXIT_DISK) }
         store?.onApplied = {
             documentLeader?.applied(it)
             orders?.applied(it)
@@ -205,6 +209,10 @@
 
     private companion object {
         const val BLOB_FOLDER = "blobs"
+
+        /** The log cannot be kept; a process manager must not take this for a planned stop. */
+        const val EXIT_DISK = 3
+        const val INCARNATION_TIMEOUT_MS = 60_000L
         const val BLOB_CLEANING_MS = 3_600_000L
 
         /** Longer than any document is known, since this member's state may lag behind the log. */
--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/RequestRunner.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/RequestRunner.kt
@@ -4,15 +4,11 @@
 import samphirechute.core.time.Subscription
 import samphirechute.daemon.controller.ClaimController
 import samphirechute.daemon.peer.GrantReply
-import samphirechute.daemon.upstream.AttemptListener
-import samphirechute.daemon.upstream.UpstreamAttempt
 import samphirechute.daemon.upstream.UpstreamProtocol
 import samphirechute.daemon.upstream.UpstreamWork
-import samphirechute.routing.Grant
 import samphirechute.routing.GrantKey
 import samphirechute.routing.GrantRequest
 import samphirechute.routing.RefusalReason
-import samphirechute.routing.flow.AttemptFailure
 import samphirechute.routing.flow.FlowInput
 import samphirechute.routing.flow.FlowOutcome
 import samphirechute.routing.flow.FlowOutput
@@ -36,7 +32,7 @@
     private val flow = RequestFlow(flowRequest(), parts.budget, parts.health)
     private val inputs = ArrayDeque<FlowInput>()
     private val record = AnswerRecord(isKept = draft.isNonRepeatable)
-    private var attempt: RunningAttempt? = null
+    private var attempt: AttemptFeed? = null
     private var timer: Subscription? = null
     private var timerDueMs = Long.MAX_VALUE
     private var isHandling = false
@@ -162,7 +158,10 @@
         val upstreams = output.grant.parts.joinToString(",") { it.upstream.value }
         val fields = arrayOf("attempt" to output.attempt, "upstream" to upstreams, "offset" to output.resumeOffset)
         runtime.ring.record("dispatched", requestId, *fields, "queued_ms" to runtime.nowMs - startedMs)
-        val running = RunningAttempt(output.grant, output.attempt)
+        val running =
+            AttemptFeed(output.grant, output.attempt, ::feed, ::headArrived) { event, noted ->
+                runtime.ring.record(event, requestId, *noted)
+            }
         attempt = running
         val work =
             UpstreamWork(
@@ -238,9 +237,12 @@
     private fun due() {
         timer = null
         if (isFinished) return
-        // A caller that reads slowly stops the upstream's stream, which is no silence; the deadline holds all the same.
-        val isHeldByCaller = isPaused && runtime.nowMs < deadlineMs
-        if (isHeldByCaller) return schedule(runtime.nowMs + PAUSED_CHECK_MS)
+        // A caller that reads slowly stops the upstream's stream, and a loop that is behind has not read what arrived.
+        // Neither is a silence of the upstream; the deadline holds all the same.
+        val isBehind = runtime.nowMs - timerDueMs > LOOP_LAG_MS
+        val mayWait = runtime.nowMs < deadlineMs
+        if (mayWait && isPaused) return schedule(runtime.nowMs + PAUSED_CHECK_MS)
+        if (mayWait && isBehind) return schedule(runtime.nowMs + LOOP_LAG_MS)
         if (runtime.nowMs < flow.nextDueMs) schedule(flow.nextDueMs) else feed(FlowInput.Ticked)
     }
 
@@ -259,49 +261,24 @@
             expectedTokens = minOf(draft.maxTokens, EXPECTED_TOKENS),
         )
 
-    private inner class RunningAttempt(
-        val grant: Grant,
-        val number: Int,
-    ) : AttemptListener {
-        var call: UpstreamAttempt? = null
-
-        override fun onSending() = feed(FlowInput.BytesSent(number))
-
-        override fun onHead(
-            status: Int,
-            contentType: String,
-            headers: Map<String, String>,
-        ) {
-            if (attempt !== this) return
-            writer.head(status, contentType, headers)
-            record.head(status, contentType)
-        }
-
-        override fun onTokens(
-            requestId: String,
-            offset: Long,
-            texts: List<String>,
-        ) = feed(FlowInput.TokensArrived(number, requestId, offset, texts))
-
-        override fun onEnd(
-            requestId: String,
-            totalTokens: Long,
-            cachedTokens: Long,
-        ) = feed(FlowInput.AnswerEnded(number, requestId, totalTokens))
-
-        override fun onFailure(
-            failure: AttemptFailure,
-            requestId: String?,
-        ) {
-            val fields = arrayOf("attempt" to number, "failure" to failure, "upstream" to grant.primary.upstream)
-            runtime.ring.record("attempt_failed", this@RequestRunner.requestId, *fields)
-            feed(FlowInput.AttemptFailed(number, failure, requestId))
-        }
+    /** The head of an answer counts only from the attempt that is under way. */
+    private fun headArrived(
+        from: AttemptFeed,
+        status: Int,
+        contentType: String,
+        headers: Map<String, String>,
+    ) {
+        if (attempt !== from) return
+        writer.head(status, contentType, headers)
+        record.head(status, contentType)
     }
 
     private companion object {
         const val PAUSED_CHECK_MS = 1_000L
 
+        /** A timer that fires this late shows that the loop has work waiting; it gets as long to do it. */
+        const val LOOP_LAG_MS = 50L
+
         /** Most answers end before the maximum that their callers allow, so that is no estimate of their time. */
         const val EXPECTED_TOKENS = 256L
     }
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
@@ -57,7 +57,8 @@
     val isCoordinator: Boolean get() = isActive && lease?.isHolding(runtime.nowMs) == true
 
     fun start() {
-        runtime.timer.every(TICK_MS, ::tick)
+        runtime.timer.every(LEASE_TICK_MS) { feed(LeaseInput.Ticked) }
+        runtime.timer.every(LEDGER_TICK_MS) { if (isActive) feed(LedgerInput.Ticked) }
     }
 
     /** Decides on a grant request now or later; [onReply] is called once, unless the request is withdrawn. */
@@ -121,11 +122,6 @@
 
     fun report(upstream: UpstreamId): UpstreamReport? = reports[upstream]
 
-    private fun tick() {
-        feed(LeaseInput.Ticked)
-        if (isActive) feed(LedgerInput.Ticked)
-    }
-
     private fun feed(input: LeaseInput) {
         lease?.handle(input, runtime.nowMs)?.forEach(::execute)
     }
@@ -215,7 +211,8 @@
         )
 
     private companion object {
-        const val TICK_MS = 50L
+        const val LEASE_TICK_MS = 100L
+        const val LEDGER_TICK_MS = 50L
         const val LEASE_TIMEOUT_MS = 500L
         const val RETRY_MS = 1_000L
     }
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreController.kt
@@ -52,6 +52,9 @@
     var onCurrencyChanged: (Boolean) -> Unit = {}
     var onApplied: (AppliedEntry) -> Unit = {}
 
+    /** Called when the disk failed, after which this member does nothing more. */
+    var onStopped: () -> Unit = {}
+
     /** Called with the term when this member becomes leader, and with null when it is one no longer. */
     var onLeadership: (Long?) -> Unit = {}
 
@@ -109,7 +112,7 @@
             is RaftOutput.Answer -> answers.remove(output.token)?.invoke(reply(output.outcome))
             is RaftOutput.LeadershipGained -> leadershipChanged("store_leader_elected", output.term, output.term)
             is RaftOutput.LeadershipLost -> leadershipChanged("store_leader_lost", output.term, null)
-            is RaftOutput.Stopped -> runtime.ring.record("store_stopped", null, "reason" to output.reason)
+            is RaftOutput.Stopped -> stopped(output.reason)
         }
     }
 
@@ -118,6 +121,11 @@
         entries.forEach(onApplied)
     }
 
+    private fun stopped(reason: String) {
+        runtime.ring.record("store_stopped", null, "reason" to reason)
+        onStopped()
+    }
+
     private fun leadershipChanged(
         event: String,
         term: Long,
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/SyncController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/SyncController.kt
@@ -134,7 +134,7 @@
         )
 
     private companion object {
-        const val TICK_MS = 50L
+        const val TICK_MS = 100L
         const val ASK_TIMEOUT_MS = 400L
         const val FORWARD_TIMEOUT_MS = 1_000L
     }
--- a/net/src/main/kotlin/samphirechute/net/HttpClient.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpClient.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
@@ -64,6 +65,7 @@
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, fairReads())
                 .handler(initializer(address))
         bootstrap.connect(address.host, address.port).addListener { future ->
             if (future.isSuccess) {
@@ -90,4 +92,15 @@
     }
 }
 
+/**
+ * One connection is read in small portions, since what it brings is handled at once. The default of 16 reads of 64 KB
+ * let one fast stream hold the loop for 70 ms, so that others appeared silent.
+ */
+private fun fairReads() =
+    AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1)
+
+private const val MIN_READ_BYTES = 1_024
+private const val FIRST_READ_BYTES = 4_096
+private const val MAX_READ_BYTES = 16 * 1_024
+
 internal fun Channel.connection(): ClientConnection = pipeline().get(ClientConnection::class.java)
