Leave a failure domain whose engine refuses everything, and tell resends apart

Cause: a spec with an engine that refuses, answers garbage, crosses, closes, goes silent or dies, beside healthy failure domains, failed once with 503 `too_late` after 5 s: the request waited in the own domain's queue until its first-token deadline, since the queue's prediction does not see refusals. Its first form could not fail, because routing avoided the engine after the first fault; it now waits until each fault has struck a request.

Change: a request that has waited 500 ms moves once to another failure domain that predicts a first token sooner than that. A repeatable request sent again while its first submission runs has a grant and an answer of its own.

--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/CallerApi.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/CallerApi.kt
@@ -1,6 +1,7 @@
 package samphirechute.daemon.caller
 
 import com.github.michaelbull.result.fold
+import samphirechute.core.RequestId
 import samphirechute.core.ServiceName
 import samphirechute.core.api.ApiPaths
 import samphirechute.core.service.ServiceMode
@@ -37,6 +38,8 @@
             ),
         )
     private val running = HashSet<RequestRunner>()
+    private val repeatableIds = HashSet<RequestId>()
+    private var lastResend = 0L
 
     /** Requests that have not got their final answer. */
     val runningRequests: Int get() = running.size
@@ -75,18 +78,37 @@
 
     private fun run(
         exchange: Exchange,
-        draft: RequestDraft,
+        given: RequestDraft,
     ) {
+        val draft = distinct(given)
         val claim = claim(draft)
         // The prompt has been read from the body; only an application still needs it.
         if (draft.form is AnswerForm.Completion) exchange.request.dropBody()
         lateinit var runner: RequestRunner
-        runner = RequestRunner(parts, draft, protocol(draft), writer(exchange, draft), claim) { running -= runner }
+        runner = RequestRunner(parts, draft, protocol(draft), writer(exchange, draft), claim) { ended(runner, draft) }
         running += runner
+        if (!draft.isNonRepeatable) repeatableIds += draft.requestId
         exchange.onAborted = runner::callerGone
         runner.start()
     }
 
+    private fun ended(
+        runner: RequestRunner,
+        draft: RequestDraft,
+    ) {
+        running -= runner
+        if (!draft.isNonRepeatable) repeatableIds -= draft.requestId
+    }
+
+    /**
+     * A repeatable request that is sent again while its first submission runs here runs beside it under a name of its
+     * own: grants and answers are told apart by request identifier. Others are told apart by their claims.
+     */
+    private fun distinct(draft: RequestDraft): RequestDraft {
+        if (draft.isNonRepeatable || draft.requestId !in repeatableIds) return draft
+        return draft.copy(requestId = RequestId("${draft.requestId}~${++lastResend}"))
+    }
+
     private fun claim(draft: RequestDraft) =
         if (!draft.isNonRepeatable) {
             null
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/GrantController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/GrantController.kt
@@ -138,9 +138,18 @@
 
         fun leaveUnless(coordinators: Map<FailureDomain, InstanceId?>) {
             val asked = target ?: return
-            if (coordinators[asked.failureDomain] == asked.coordinator) return
+            val isLost = coordinators[asked.failureDomain] != asked.coordinator
+            if (!isLost && !isFasterElsewhere()) return
             withdraw()
-            askNext(RefusalReason.NOT_COORDINATOR, DEFAULT_RETRY_MS)
+            askNext(if (isLost) RefusalReason.NOT_COORDINATOR else RefusalReason.TOO_LATE, DEFAULT_RETRY_MS)
+        }
+
+        /** True when another failure domain predicts a first token sooner than this request has already waited. */
+        private fun isFasterElsewhere(): Boolean {
+            val waitedMs = runtime.nowMs - startedMs
+            if (waitedMs < PATIENCE_MS) return false
+            val other = chooser.next(request, tried, runtime.nowMs) ?: return false
+            return other.digest.firstTokenMs < waitedMs
         }
 
         fun withdraw() {
@@ -173,6 +182,9 @@
         const val RENEWAL_MS = 250L
         const val RELEASE_TIMEOUT_MS = 2_000L
         const val DEFAULT_RETRY_MS = 1_000L
+
+        /** An upstream that refuses everything keeps its queue waiting; the queue's own prediction does not see it. */
+        const val PATIENCE_MS = 500L
         const val ANSWER_MARGIN_MS = 1_000L
     }
 }
--- a/daemon/src/test/kotlin/samphirechute/daemon/UpstreamFaultSpec.kt
+++ b/daemon/src/test/kotlin/samphirechute/daemon/UpstreamFaultSpec.kt
@@ -10,6 +10,8 @@
 import samphirechute.core.api.PublishOutcome
 import samphirechute.testkit.DeterministicAnswer
 import samphirechute.testkit.UpstreamFault
+import java.net.http.HttpResponse
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -27,7 +29,6 @@
         cluster.startAll()
         cluster.awaitReady()
         engine = cluster.engine(0)
-        cluster.engine(0) { id = "engine-spare" }
         cluster.engine(1)
         cluster.engine(2)
         application = cluster.application(0)
@@ -53,21 +54,38 @@
                     UpstreamFault.DIE,
                 )
             for (fault in faults) {
+                cluster.await("the engine is used") { isUsed("before-$fault-${count++}") }
                 cluster.postAt(engine, "/control/fault?kind=$fault")
-                val answers = (1..4).map { number -> ask("$fault-$number") }
-                for ((id, answer) in answers) {
-                    val response = answer.get(DEADLINE_SECONDS, TimeUnit.SECONDS)
-                    assertEquals(200, response.statusCode(), "$fault: ${response.body()}")
-                    assertContains(
-                        response.body(),
-                        "\"${DeterministicAnswer.text(RequestId(id), 12)}\"",
-                        message = "$fault",
-                    )
-                }
+                cluster.await("$fault strikes a request") { (1..4).map { ask("$fault-${count++}") }.any(::isStruck) }
                 if (fault != UpstreamFault.DIE) cluster.postAt(engine, "/control/fault?kind=none")
             }
+            for ((id, answer) in answers) {
+                assertEquals(200, answer.first, "$id: ${answer.second}")
+                assertContains(answer.second, "\"${DeterministicAnswer.text(RequestId(id), 12)}\"", message = id)
+            }
+        }
+
+        /** Checks that the answer is whole; true when it took more than one attempt. */
+        private fun isStruck(asked: Pair<String, CompletableFuture<HttpResponse<String>>>): Boolean {
+            val (id, answer) = asked
+            val response = answer.get(DEADLINE_SECONDS, TimeUnit.SECONDS)
+            answers += id to (response.statusCode() to response.body())
+            return "attempt_retried" in timeline(id)
+        }
+
+        private val answers = mutableListOf<Pair<String, Pair<Int, String>>>()
+
+        private var count = 0
+
+        /** True when the engine of the own failure domain answered, so that it is not avoided any more. */
+        private fun isUsed(id: String): Boolean {
+            cluster.complete(0, "x", "Idempotency-Key" to id)
+            return "engine-0" in timeline(id) && "attempt_retried" !in timeline(id)
         }
 
+        private fun timeline(id: String) =
+            cluster.get(0, "${ApiPaths.TIMELINE}?${ApiPaths.REQUEST_PARAMETER}=$id").body()
+
         private fun ask(id: String) =
             id to
                 cluster.postLater(
--- a/daemon/src/test/kotlin/samphirechute/daemon/WholePathSpec.kt
+++ b/daemon/src/test/kotlin/samphirechute/daemon/WholePathSpec.kt
@@ -58,6 +58,17 @@
             assertContains(answer.body(), "data: [DONE]")
         }
 
+        /** Guards against a resend that takes the answer of the first submission, or ends it. */
+        @Test
+        fun `a request sent again while it runs gets an answer of its own, and so does the first`() {
+            val body = """{"model":"draft-reply","prompt":"again","max_tokens":300}"""
+            val calls = (1..3).map { cluster.postLater(0, ApiPaths.COMPLETIONS, body, "Idempotency-Key" to "again-1") }
+            for (answer in calls.map { it.get() }) {
+                assertEquals(200, answer.statusCode(), answer.body())
+                assertContains(answer.body(), "\"completion_tokens\":300")
+            }
+        }
+
         /** Guards against a request whose course cannot be followed over the instances. */
         @Test
         fun `the time line shows the steps of a request`() {
