--- a/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
@@ -211,7 +211,7 @@
         const val BLOB_FOLDER = "blobs"
 
         /** The log cannot be kept; a process manager must not take this for a planned stop. */
-        const val EXIT_DISK = 3
+        const val EXIT_DISK = 4
         const val INCARNATION_TIMEOUT_MS = 60_000L
         const val BLOB_CLEANING_MS = 3_600_000L
 
--- a/daemon/src/main/kotlin/samphirechute/daemon/Stopper.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Stopper.kt
@@ -21,18 +21,21 @@
     fun signalled() {
         if (lifecycle.isLeaving) return end()
         lifecycle.isLeaving = true
-        runtime.ring.record("stop_requested", null, "running" to callers.runningRequests)
+        runtime.ring.record("stop_requested", null, "running" to callers.runningRequests, "documents" to running())
         onLeaving()
         runtime.timer.after(BALANCER_NOTICE_MS) { lifecycle.isRefusing = true }
         runtime.timer.after(runtime.settings.limits.stopLimitMs) { end() }
         runtime.timer.every(CHECK_MS) { if (lifecycle.isRefusing && callers.runningRequests == 0) end() }
     }
 
+    /** Documents are not waited for, since they may run for hours; they are run again elsewhere after their lease. */
+    private fun running() = documents.runningDocuments
+
     private fun end() {
         if (isEnded) return
         isEnded = true
         val cut = callers.runningRequests
-        runtime.ring.record("stopped", null, "cut" to cut)
+        runtime.ring.record("stopped", null, "cut" to cut, "documents" to running())
         exit(if (cut == 0) 0 else 1)
     }
 
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
@@ -7,7 +7,6 @@
 import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
 import samphirechute.core.UpstreamId
-import samphirechute.core.settings.DaemonSettings
 import samphirechute.core.settings.PeerSettings
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.peer.GrantReply
@@ -217,17 +216,3 @@
         const val RETRY_MS = 1_000L
     }
 }
-
-/**
- * The voters of the own failure domain: those with a disk first, then by name, up to [MAX_VOTERS]. The holder renews
- * its lease with each voter, so their number bounds its traffic; all instances must come to the same voters.
- */
-private fun votersOf(settings: DaemonSettings): List<PeerSettings> =
-    (settings.peers + settings.self)
-        .distinctBy { it.instance }
-        .filter { it.failureDomain == settings.failureDomain }
-        .sortedWith(compareBy({ !it.isStore }, { it.instance }))
-        .take(MAX_VOTERS)
-
-/** Three of seven may be lost at once, as with two of the five that a failure domain has today. */
-private const val MAX_VOTERS = 7
