Do not lose the wake-up of a large body while it is first written

The writer of a body was remembered only after its first write; a connection that took everything at once asked for more during that write, found no writer, and never asked again. Ruled out: the server's limits and the slow reader path.

Change: the writer is set before it writes, and goes on by itself when a flush makes the connection writable. The new spec of bodies up to 4 MB in both directions failed before and passes after.

--- a/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
+++ b/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
@@ -30,7 +30,10 @@
         connected.config().isAutoRead = isReading
         listener.onSending()
         connected.write(head())
-        writer = BodyWriter(connected, request.body).also { it.resume() }
+        val body = BodyWriter(connected, request.body)
+        // Set before the first write, during which the connection may already ask for more.
+        writer = body
+        body.resume()
     }
 
     fun connectFailed(cause: Throwable?) =
--- a/net/src/main/kotlin/samphirechute/net/BodyWriter.kt
+++ b/net/src/main/kotlin/samphirechute/net/BodyWriter.kt
@@ -24,8 +24,9 @@
             if (length == 0) return finish()
             channel.write(DefaultHttpContent(Unpooled.wrappedBuffer(body, writtenBytes, length)))
             writtenBytes += length
+            // The flush may make the channel writable again at once, without a further event.
+            if (!channel.isWritable) channel.flush()
         }
-        channel.flush()
     }
 
     private fun finish() {
--- a/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
@@ -41,7 +41,9 @@
         HttpUtil.setContentLength(response, body.size.toLong())
         context.write(response)
         releaseBody()
-        writer = BodyWriter(context.channel(), if (isHead) EMPTY else body, ::ended).also { it.resume() }
+        val answer = BodyWriter(context.channel(), if (isHead) EMPTY else body, ::ended)
+        writer = answer
+        answer.resume()
     }
 
     override fun startStream(
--- a/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
+++ b/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertContains
+import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
@@ -107,6 +108,18 @@
             fill()
         }
 
+        /** Guards against a large body that stalls when the connection takes more while it is first written. */
+        @Test
+        fun `large bodies arrive whole in both directions`() {
+            LoopbackFixture(ServerLimits(), ::echo).use { fixture ->
+                for (size in listOf(0, 1, 32 * 1024, 64 * 1024, 400_000, 4_000_000)) {
+                    val body = ByteArray(size) { it.toByte() }
+                    val answer = fixture.call(ClientRequest(fixture.address, "POST", "/", body)).get()
+                    assertContentEquals(body, answer?.body, "$size bytes")
+                }
+            }
+        }
+
         /** Guards against an answer that is cut but looks complete to its reader. */
         @Test
         fun `an aborted stream is a failure at the client`() {
