--- a/core/src/main/kotlin/samphirechute/core/toml/TomlSource.kt
+++ b/core/src/main/kotlin/samphirechute/core/toml/TomlSource.kt
@@ -13,7 +13,7 @@
 import java.nio.file.Path
 
 /** One TOML file with the errors found in it so far. */
-internal class TomlSource(
+class TomlSource(
     private val file: String,
     text: String,
 ) {
--- a/core/src/main/kotlin/samphirechute/core/toml/TomlTable.kt
+++ b/core/src/main/kotlin/samphirechute/core/toml/TomlTable.kt
@@ -7,7 +7,7 @@
  * Reads the fields of one TOML table and collects an error for each that is missing or has another form. Every field
  * that was asked for is known; [rejectUnknown] reports the others. A getter gives null after it reported an error.
  */
-internal class TomlTable(
+class TomlTable(
     private val node: ObjectNode,
     private val path: String,
     private val source: TomlSource,
@@ -41,6 +41,25 @@
         return if (isValid(text)) text else report(key, "has the value \"${shortened(text)}\"", accepted)
     }
 
+    /** The strings of an array. */
+    fun texts(
+        key: String,
+        accepted: String,
+        isValid: (String) -> Boolean,
+    ): List<String>? {
+        val value = value(key) ?: return report(key, "is missing", "an array, each $accepted")
+        val isList = value.isArray && value.all { it.isTextual && isValid(it.textValue()) }
+        return if (isList) {
+            value.map { it.textValue() }
+        } else {
+            report(
+                key,
+                "has the value $value",
+                "an array, each $accepted",
+            )
+        }
+    }
+
     fun number(
         key: String,
         range: LongRange,
--- a/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
@@ -30,8 +30,6 @@
 import samphirechute.daemon.operator.OperatorApi
 import samphirechute.daemon.operator.Views
 import samphirechute.daemon.peer.LeaseReply
-import samphirechute.daemon.peer.PeerApi
-import samphirechute.daemon.peer.PeerClient
 import samphirechute.daemon.peer.PeerRoutes
 import samphirechute.daemon.peer.SyncReply
 import samphirechute.daemon.peer.UpstreamReply
@@ -39,6 +37,8 @@
 import samphirechute.net.HttpClient
 import samphirechute.net.HttpServer
 import samphirechute.net.ServerLimits
+import samphirechute.net.peer.PeerApi
+import samphirechute.net.peer.PeerClient
 import samphirechute.state.command.Command
 import samphirechute.state.command.DrainTarget
 import samphirechute.state.lease.LeaseHolder
@@ -53,7 +53,7 @@
 ) : AutoCloseable {
     private val runtime = Runtime(settings, loop, HttpClient(loop), EventRing(settings.instance), incarnation)
     private val registry = PrometheusRegistry()
-    private val peerClient = PeerClient(runtime)
+    private val peerClient = PeerClient(runtime.client, settings.keys.peer)
     private val store = settings.store?.let { StoreController(runtime, peerClient, it) }
     private val storeClient = StoreClient(runtime, peerClient, store)
     private val sync = SyncController(runtime, peerClient)
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/CoordinatorController.kt
@@ -11,11 +11,11 @@
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.peer.GrantReply
 import samphirechute.daemon.peer.LeaseEnvelope
-import samphirechute.daemon.peer.PeerClient
-import samphirechute.daemon.peer.PeerJson
 import samphirechute.daemon.peer.PeerRoutes
 import samphirechute.daemon.upstream.AnnouncementReader
 import samphirechute.daemon.upstream.EngineProtocol
+import samphirechute.net.peer.PeerClient
+import samphirechute.net.peer.PeerJson
 import samphirechute.routing.Grant
 import samphirechute.routing.GrantKey
 import samphirechute.routing.GrantRequest
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/DigestController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/DigestController.kt
@@ -4,7 +4,7 @@
 import kotlinx.serialization.SerializationException
 import samphirechute.core.PoolName
 import samphirechute.daemon.Runtime
-import samphirechute.daemon.peer.PeerJson
+import samphirechute.net.peer.PeerJson
 import samphirechute.routing.DomainDigest
 import samphirechute.routing.PoolDigest
 import samphirechute.state.command.DrainTarget
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/GrantController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/GrantController.kt
@@ -6,11 +6,11 @@
 import samphirechute.core.InstanceId
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.peer.GrantReply
-import samphirechute.daemon.peer.PeerClient
-import samphirechute.daemon.peer.PeerJson
 import samphirechute.daemon.peer.PeerRoutes
 import samphirechute.daemon.peer.ReleaseMessage
 import samphirechute.net.ClientCall
+import samphirechute.net.peer.PeerClient
+import samphirechute.net.peer.PeerJson
 import samphirechute.routing.DomainChooser
 import samphirechute.routing.DomainDigest
 import samphirechute.routing.DomainTarget
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/OrderController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/OrderController.kt
@@ -4,11 +4,11 @@
 import samphirechute.core.HostPort
 import samphirechute.core.UpstreamId
 import samphirechute.daemon.Runtime
-import samphirechute.daemon.peer.PeerClient
 import samphirechute.daemon.peer.PeerRoutes
 import samphirechute.daemon.peer.UpstreamQuery
 import samphirechute.daemon.peer.UpstreamReply
 import samphirechute.daemon.upstream.OrderProtocol
+import samphirechute.net.peer.PeerClient
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
 import samphirechute.state.order.OrderGiver
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreClient.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreClient.kt
@@ -5,9 +5,9 @@
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.peer.CommandOutcome
 import samphirechute.daemon.peer.CommandReply
-import samphirechute.daemon.peer.PeerClient
-import samphirechute.daemon.peer.PeerError
 import samphirechute.daemon.peer.PeerRoutes
+import samphirechute.net.peer.PeerClient
+import samphirechute.net.peer.PeerError
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
 
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/StoreController.kt
@@ -7,21 +7,20 @@
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.peer.CommandOutcome
 import samphirechute.daemon.peer.CommandReply
-import samphirechute.daemon.peer.PeerApi
-import samphirechute.daemon.peer.PeerClient
 import samphirechute.daemon.peer.PeerRoutes
+import samphirechute.net.peer.PeerApi
+import samphirechute.net.peer.PeerClient
 import samphirechute.state.command.Command
-import samphirechute.state.command.StoreMember
-import samphirechute.state.disk.DiskThread
 import samphirechute.state.disk.NioFolder
 import samphirechute.state.disk.StoreDisk
 import samphirechute.state.drain.DrainInput
 import samphirechute.state.drain.DrainRecord
+import samphirechute.state.host.LogDriver
+import samphirechute.state.host.member
 import samphirechute.state.raft.AppliedEntry
 import samphirechute.state.raft.ProposalOutcome
-import samphirechute.state.raft.RaftInput
+import samphirechute.state.raft.RaftMessage
 import samphirechute.state.raft.RaftNode
-import samphirechute.state.raft.RaftOutput
 import samphirechute.state.store.StoreState
 import samphirechute.state.sync.Configuration
 import java.util.UUID
@@ -39,13 +38,12 @@
         StoreDisk.open(
             NioFolder(settings.dataFolder.resolve(LOG_FOLDER)),
         ) { UUID.randomUUID().toString() }
-    private val diskThread = DiskThread(disk) { input -> runtime.loop.post { feed(input) } }
-    private val node: RaftNode =
-        RaftNode(member(), stores.keys, disk.restored, Random(runtime.incarnation), runtime.nowMs)
-    private val answers = HashMap<Long, (CommandReply) -> Unit>()
-    private var lastToken = 0L
+    private val driver =
+        LogDriver(runtime.timer, disk, runtime.loop::post, ::send) {
+            RaftNode(member(), stores.keys, disk.restored, Random(runtime.incarnation), runtime.nowMs)
+        }
+    private val node: RaftNode get() = driver.node
     private var told = StoreState()
-    private var isCurrent = false
 
     var onConfiguration: (Configuration) -> Unit = {}
     var onDrainRecord: (DrainInput) -> Unit = {}
@@ -68,14 +66,19 @@
     fun leaseUntilMs() = node.leaseUntilMs()
 
     fun start() {
-        runtime.timer.every(TICK_MS) { feed(RaftInput.Tick(System.currentTimeMillis())) }
+        driver.onApplied = ::applied
+        driver.onInstalled = ::tell
+        driver.onCurrencyChanged = { onCurrencyChanged(it) }
+        driver.onLeadership = ::leadershipChanged
+        driver.onStopped = ::stopped
+        driver.start()
         tell()
     }
 
     fun serve(api: PeerApi) {
         api.on(PeerRoutes.raft) { message, exchange ->
             exchange.answer(Unit)
-            feed(RaftInput.Received(message))
+            driver.received(message)
         }
         api.on(PeerRoutes.commands) { command, exchange -> propose(command, exchange::answer) }
     }
@@ -85,9 +88,7 @@
         command: Command,
         onReply: (CommandReply) -> Unit,
     ) {
-        val token = ++lastToken
-        answers[token] = onReply
-        feed(RaftInput.Propose(token, stamped(command)))
+        driver.propose(stamped(command)) { onReply(reply(it)) }
     }
 
     /** The term of the leader that issues an order is its fencing number. */
@@ -96,25 +97,7 @@
 
     fun view() = StoreView(node.leader?.instance, node.term)
 
-    override fun close() = diskThread.close()
-
-    private fun feed(input: RaftInput) {
-        node.handle(input, runtime.nowMs).forEach(::execute)
-        updateCurrency()
-    }
-
-    private fun execute(output: RaftOutput) {
-        when (output) {
-            is RaftOutput.Send -> send(output)
-            is RaftOutput.Write -> diskThread.submit(output.write)
-            is RaftOutput.Apply -> applied(output.entries)
-            is RaftOutput.Installed -> tell()
-            is RaftOutput.Answer -> answers.remove(output.token)?.invoke(reply(output.outcome))
-            is RaftOutput.LeadershipGained -> leadershipChanged("store_leader_elected", output.term, output.term)
-            is RaftOutput.LeadershipLost -> leadershipChanged("store_leader_lost", output.term, null)
-            is RaftOutput.Stopped -> stopped(output.reason)
-        }
-    }
+    override fun close() = driver.close()
 
     private fun applied(entries: List<AppliedEntry>) {
         tell()
@@ -127,17 +110,19 @@
     }
 
     private fun leadershipChanged(
-        event: String,
         term: Long,
-        leading: Long?,
+        isLeading: Boolean,
     ) {
-        runtime.ring.record(event, null, "term" to term)
-        onLeadership(leading)
+        runtime.ring.record(if (isLeading) "store_leader_elected" else "store_leader_lost", null, "term" to term)
+        onLeadership(term.takeIf { isLeading })
     }
 
-    private fun send(output: RaftOutput.Send) {
-        val address = stores[output.to]?.address ?: return
-        peerClient.call(address, PeerRoutes.raft, output.message, SEND_TIMEOUT_MS) { }
+    private fun send(
+        to: InstanceId,
+        message: RaftMessage,
+    ) {
+        val address = stores[to]?.address ?: return
+        peerClient.call(address, PeerRoutes.raft, message, SEND_TIMEOUT_MS) { }
     }
 
     private fun reply(outcome: ProposalOutcome) =
@@ -158,25 +143,11 @@
         told = current
     }
 
-    private fun updateCurrency() {
-        val isNow = node.readableState(runtime.nowMs) != null
-        if (isNow == isCurrent) return
-        isCurrent = isNow
-        onCurrencyChanged(isNow)
-    }
-
     /** This instance with its disk, as a member of the store. */
-    fun member() =
-        StoreMember(
-            runtime.self,
-            runtime.settings.failureDomain,
-            runtime.settings.listen,
-            disk.diskId,
-        )
+    fun member() = disk.member(runtime.self, runtime.settings.failureDomain, runtime.settings.listen)
 
     private companion object {
         const val LOG_FOLDER = "log"
-        const val TICK_MS = 20L
         const val SEND_TIMEOUT_MS = 1_000L
     }
 }
--- a/daemon/src/main/kotlin/samphirechute/daemon/controller/SyncController.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/controller/SyncController.kt
@@ -9,9 +9,9 @@
 import samphirechute.core.service.ServiceSpec
 import samphirechute.core.settings.PeerSettings
 import samphirechute.daemon.Runtime
-import samphirechute.daemon.peer.PeerClient
 import samphirechute.daemon.peer.PeerRoutes
 import samphirechute.daemon.peer.ReportsMessage
+import samphirechute.net.peer.PeerClient
 import samphirechute.state.command.Command
 import samphirechute.state.command.DrainTarget
 import samphirechute.state.drain.DrainOutput
--- a/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentFinder.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentFinder.kt
@@ -4,8 +4,8 @@
 import samphirechute.core.HostPort
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.controller.StoreController
-import samphirechute.daemon.peer.PeerClient
 import samphirechute.daemon.peer.PeerRoutes
+import samphirechute.net.peer.PeerClient
 import samphirechute.state.store.DocumentRecord
 
 /** Looks a document up at the store members, of which one may lag: the record that is furthest on counts. */
--- a/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentIntake.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentIntake.kt
@@ -10,8 +10,8 @@
 import samphirechute.daemon.http.RequestError
 import samphirechute.daemon.http.refuse
 import samphirechute.daemon.http.respondJson
-import samphirechute.daemon.peer.PeerJson
 import samphirechute.net.Exchange
+import samphirechute.net.peer.PeerJson
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
 import samphirechute.state.store.DocumentRecord
--- a/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentLeader.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentLeader.kt
@@ -3,8 +3,8 @@
 import samphirechute.daemon.Runtime
 import samphirechute.daemon.controller.StoreController
 import samphirechute.daemon.controller.SyncController
-import samphirechute.daemon.peer.PeerClient
 import samphirechute.daemon.peer.PeerRoutes
+import samphirechute.net.peer.PeerClient
 import samphirechute.state.command.Claimant
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
--- a/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentRunners.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/document/DocumentRunners.kt
@@ -14,8 +14,8 @@
 import samphirechute.daemon.controller.StoreClient
 import samphirechute.daemon.controller.StoreResult
 import samphirechute.daemon.http.RequestError
-import samphirechute.daemon.peer.PeerJson
 import samphirechute.net.ServerRequest
+import samphirechute.net.peer.PeerJson
 import samphirechute.routing.flow.FlowOutcome
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
--- a/daemon/src/main/kotlin/samphirechute/daemon/http/DaemonApi.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/http/DaemonApi.kt
@@ -12,9 +12,9 @@
 import samphirechute.daemon.document.BlobApi
 import samphirechute.daemon.document.BlobClient
 import samphirechute.daemon.operator.OperatorApi
-import samphirechute.daemon.peer.PeerApi
 import samphirechute.daemon.upstream.AnnouncementReader
 import samphirechute.net.Exchange
+import samphirechute.net.peer.PeerApi
 import java.io.ByteArrayOutputStream
 
 /** All paths of a daemon, with the key that each part of them needs. */
--- a/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerRoute.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerRoutes.kt
@@ -1,6 +1,5 @@
 package samphirechute.daemon.peer
 
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.serializer
 import kotlinx.serialization.json.JsonElement
@@ -10,6 +9,7 @@
 import samphirechute.daemon.document.FindMessage
 import samphirechute.daemon.document.FindReply
 import samphirechute.daemon.document.RunMessage
+import samphirechute.net.peer.PeerRoute
 import samphirechute.routing.Grant
 import samphirechute.routing.GrantKey
 import samphirechute.routing.GrantRequest
@@ -22,13 +22,6 @@
 import samphirechute.state.raft.RaftMessage
 import samphirechute.state.sync.SyncMessage
 
-/** One path between instances with the messages that it carries. */
-internal class PeerRoute<Q, A>(
-    val path: String,
-    val request: KSerializer<Q>,
-    val reply: KSerializer<A>,
-)
-
 /** All paths between instances. */
 internal object PeerRoutes {
     val grants = PeerRoute("/peer/v1/grants", GrantRequest.serializer(), GrantReply.serializer())
--- a/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
+++ b/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
@@ -39,10 +39,16 @@
     fun connectFailed(cause: Throwable?) =
         failed(ClientFailure.ConnectFailed(cause?.message ?: "no connection to ${request.address}"))
 
-    fun head(response: HttpResponse) {
-        if (isDone) return
-        val headers = response.headers().associate { (name, value) -> name.lowercase() to value }
-        listener.onHead(response.status().code(), headers)
+    /** True once the whole request is written, so that the connection may carry another one. */
+    val isWritten: Boolean get() = writer?.isDone ?: false
+
+    /** Takes the head of an answer; false when the answer belongs to another request. */
+    fun head(response: HttpResponse): Boolean {
+        if (isDone) return true
+        val head = ResponseHead(response.status().code(), response.headers().map { HeaderField(it.key, it.value) })
+        if (!request.isOwnAnswer(head)) return false
+        listener.onResponseHead(head)
+        return true
     }
 
     fun body(piece: ByteBuf) {
@@ -80,10 +86,25 @@
 
     private fun head(): HttpRequest {
         val message = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.path)
+        request.relayedHeaders?.let { return relayed(message, it) }
         message.headers()[HttpHeaderNames.HOST] = request.address.toString()
         if (request.body.isNotEmpty()) message.headers()[HttpHeaderNames.CONTENT_TYPE] = request.contentType
         HttpUtil.setContentLength(message, request.body.size.toLong())
         request.headers.forEach { (name, value) -> message.headers()[name] = value }
         return message
     }
+
+    private fun relayed(
+        message: HttpRequest,
+        fields: List<HeaderField>,
+    ): HttpRequest {
+        fields.forEach { message.headers().add(it.name, it.value) }
+        val hasBody = request.body.isNotEmpty() || request.method !in BODILESS_METHODS
+        if (hasBody) HttpUtil.setContentLength(message, request.body.size.toLong())
+        return message
+    }
+
+    private companion object {
+        val BODILESS_METHODS = setOf("GET", "HEAD", "DELETE", "OPTIONS")
+    }
 }
--- a/net/src/main/kotlin/samphirechute/net/BodyWriter.kt
+++ b/net/src/main/kotlin/samphirechute/net/BodyWriter.kt
@@ -15,7 +15,8 @@
     private val onWritten: () -> Unit = {},
 ) {
     private var writtenBytes = 0
-    private var isDone = false
+    var isDone = false
+        private set
 
     /** Writes what the channel takes; to be called again each time it becomes writable. */
     fun resume() {
--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -16,6 +16,8 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var call: ActiveCall? = null
     private var isKeepAlive = true
+    private var isForeign = false
+    private var idleLimitMs = Long.MAX_VALUE
 
     fun serve(next: ActiveCall) {
         call = next
@@ -43,7 +45,12 @@
         if (message is HttpResponse) {
             if (message.status().code() == CONTINUE_STATUS) return
             isKeepAlive = HttpUtil.isKeepAlive(message)
-            current.head(message)
+            idleLimitMs = idleLimitMs(message)
+            isForeign = !current.head(message)
+        }
+        if (isForeign) {
+            if (message is LastHttpContent) isForeign = false
+            return
         }
         if (message is HttpContent) current.body(message.content())
         if (message is LastHttpContent && call === current) ended(context, current)
@@ -78,10 +85,24 @@
     ) {
         call = null
         context.channel().config().isAutoRead = true
-        if (isKeepAlive) pool.put(address, context.channel()) else context.close()
+        // A peer that answers early still expects the rest of the body, so the connection cannot be used again.
+        val isReusable = isKeepAlive && current.isWritten
+        if (isReusable) pool.put(address, context.channel(), idleLimitMs) else context.close()
         current.ended()
     }
 
+    /** The peer may name the seconds after which it closes an idle connection; the margin covers the way there. */
+    private fun idleLimitMs(response: HttpResponse): Long {
+        val parameters = response.headers()["Keep-Alive"] ?: return Long.MAX_VALUE
+        val seconds =
+            KEEP_ALIVE_TIMEOUT
+                .find(parameters)
+                ?.groupValues
+                ?.get(1)
+                ?.toLongOrNull() ?: return Long.MAX_VALUE
+        return (seconds * MS_PER_SECOND - IDLE_MARGIN_MS).coerceAtLeast(0)
+    }
+
     /** Drops the call without telling its listener. */
     fun abandon(context: ActiveCall) {
         if (call === context) call = null
@@ -89,5 +110,8 @@
 
     private companion object {
         const val CONTINUE_STATUS = 100
+        const val MS_PER_SECOND = 1_000L
+        const val IDLE_MARGIN_MS = 500L
+        val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d{1,6})")
     }
 }
--- a/net/src/main/kotlin/samphirechute/net/ConnectionPool.kt
+++ b/net/src/main/kotlin/samphirechute/net/ConnectionPool.kt
@@ -11,11 +11,15 @@
 ) {
     private val idle = HashMap<HostPort, ArrayDeque<Idle>>()
 
-    fun take(address: HostPort): Channel? {
+    fun take(
+        address: HostPort,
+        maxIdleMs: Long = this.maxIdleMs,
+    ): Channel? {
         val channels = idle[address] ?: return null
         while (true) {
             val entry = channels.removeLastOrNull() ?: break
-            if (entry.channel.isActive && clock.nowMs() - entry.sinceMs <= maxIdleMs) return entry.channel
+            val idleMs = clock.nowMs() - entry.sinceMs
+            if (entry.channel.isActive && idleMs <= minOf(maxIdleMs, entry.limitMs)) return entry.channel
             entry.channel.close()
         }
         idle.remove(address)
@@ -25,10 +29,11 @@
     fun put(
         address: HostPort,
         channel: Channel,
+        limitMs: Long = Long.MAX_VALUE,
     ) {
         if (!channel.isActive) return
         val channels = idle.getOrPut(address) { ArrayDeque() }
-        channels += Idle(channel, clock.nowMs())
+        channels += Idle(channel, clock.nowMs(), minOf(maxIdleMs, limitMs))
         while (channels.size > MAX_IDLE_PER_ADDRESS) channels.removeFirst().channel.close()
     }
 
@@ -46,6 +51,7 @@
     private class Idle(
         val channel: Channel,
         val sinceMs: Long,
+        val limitMs: Long,
     )
 
     private companion object {
--- a/net/src/main/kotlin/samphirechute/net/Exchange.kt
+++ b/net/src/main/kotlin/samphirechute/net/Exchange.kt
@@ -23,6 +23,16 @@
         headers: Map<String, String> = emptyMap(),
     ): ResponseStream
 
+    /**
+     * Starts an answer that is passed on: [fields] are sent as they are. A body of unknown length, when [lengthBytes] is
+     * null, is sent in chunks, so that the client can tell a cut answer from a complete one.
+     */
+    fun startRelay(
+        status: Int,
+        fields: List<HeaderField>,
+        lengthBytes: Long?,
+    ): ResponseStream
+
     /** Drops the request body once it is no longer needed, which frees its share of the body budget. */
     fun releaseBody()
 }
--- a/net/src/main/kotlin/samphirechute/net/HttpClient.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpClient.kt
@@ -8,8 +8,10 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import jdk.net.ExtendedSocketOptions
 import samphirechute.core.HostPort
 
 /**
@@ -32,7 +34,15 @@
         listener: ResponseListener,
     ): ClientCall {
         val call = ActiveCall(request, listener)
-        val pooled = if (request.useFreshConnection) null else pool.take(request.address)
+        val pooled =
+            if (request.useFreshConnection) {
+                null
+            } else {
+                pool.take(
+                    request.address,
+                    minOf(maxIdleMs, request.maxIdleMs),
+                )
+            }
         if (pooled != null) call.start(pooled) else connect(request.address, call)
         return call
     }
@@ -65,6 +75,10 @@
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_S)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_S)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBE_COUNT)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, fairReads())
                 .handler(initializer(address))
         bootstrap.connect(address.host, address.port).addListener { future ->
@@ -89,6 +103,11 @@
     private companion object {
         const val MAX_HEAD_BYTES = 32 * 1024
         const val CHUNK_BYTES = 64 * 1024
+
+        /** A connection on which nothing comes back, not even an answer to probes, is closed after 3 s. */
+        const val PROBE_AFTER_S = 1
+        const val PROBE_EVERY_S = 1
+        const val PROBE_COUNT = 2
     }
 }
 
--- a/net/src/main/kotlin/samphirechute/net/HttpServer.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -26,6 +26,9 @@
     /** The bytes of all connections that clients opened. */
     val traffic = TrafficCounter()
 
+    /** While true, each answer is the last one on its connection. */
+    var isLeaving = false
+
     val openConnections: Int get() = connections.size
 
     /** Bytes of request bodies held in memory. */
@@ -69,7 +72,7 @@
                 channel.pipeline().addLast(
                     traffic.handler,
                     HttpServerCodec(limits.maxHeadBytes, limits.maxHeadBytes, CHUNK_BYTES),
-                    ServerConnection(loop, limits, budget, handler),
+                    ServerConnection(loop, limits, budget, { isLeaving }, handler),
                 )
             }
         }
--- a/net/src/main/kotlin/samphirechute/net/ResponseListener.kt
+++ b/net/src/main/kotlin/samphirechute/net/ResponseListener.kt
@@ -12,6 +12,10 @@
         headers: Map<String, String>,
     ) = Unit
 
+    /** The head with all its lines, for answers that are passed on. */
+    fun onResponseHead(head: ResponseHead) =
+        onHead(head.status, head.fields.associate { it.name.lowercase() to it.value })
+
     /** A piece of the body; the buffer is valid during the call only. */
     fun onBody(piece: ByteBuf) = Unit
 
--- a/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
@@ -27,6 +27,7 @@
     private val loop: EventLoop,
     private val limits: ServerLimits,
     private val budget: BodyBudget,
+    private val isLeaving: () -> Boolean,
     private val handler: (Exchange) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>(false) {
     private val waiting = ArrayDeque<HttpObject>()
@@ -113,7 +114,7 @@
         context: ChannelHandlerContext,
         reader: RequestReader,
     ) {
-        val exchange = ServerExchange(context, reader) { finished(context) }
+        val exchange = ServerExchange(context, reader, isLeaving) { finished(context) }
         active = exchange
         try {
             handler(exchange)
--- a/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
@@ -16,6 +16,7 @@
 internal class ServerExchange(
     private val context: ChannelHandlerContext,
     private val reader: RequestReader,
+    private val isLastOnConnection: () -> Boolean,
     private val onFinished: () -> Unit,
 ) : Exchange {
     override val request = reader.toRequest()
@@ -27,6 +28,7 @@
     private var writer: BodyWriter? = null
     private var isAnswered = false
     private var isEnded = false
+    private var isClosing = false
 
     override fun respond(
         status: Int,
@@ -63,6 +65,28 @@
         return started
     }
 
+    override fun startRelay(
+        status: Int,
+        fields: List<HeaderField>,
+        lengthBytes: Long?,
+    ): ResponseStream {
+        val started = Stream(isOpen = !isAnswered && !isEnded)
+        if (isAnswered || isEnded) return started
+        isAnswered = true
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        fields.forEach { response.headers().add(it.name, it.value) }
+        if (closesAfter()) response.headers()[HttpHeaderNames.CONNECTION] = "close"
+        if (lengthBytes != null) {
+            HttpUtil.setContentLength(response, lengthBytes)
+        } else if (reader.head.protocolVersion() == HttpVersion.HTTP_1_1) {
+            HttpUtil.setTransferEncodingChunked(response, true)
+        }
+        context.write(response)
+        stream = started
+        started.flushSoon()
+        return started
+    }
+
     override fun releaseBody() = reader.discard()
 
     /** The connection takes more of the answer. */
@@ -96,12 +120,18 @@
         response.headers()[HttpHeaderNames.CONNECTION] = "close"
     }
 
-    private fun closesAfter() = !isKeepAlive || reader.head.protocolVersion() != HttpVersion.HTTP_1_1
+    /** Decided with the head and kept, since the client was told. */
+    private fun closesAfter(): Boolean {
+        if (!isKeepAlive || reader.head.protocolVersion() != HttpVersion.HTTP_1_1 || isLastOnConnection()) {
+            isClosing = true
+        }
+        return isClosing
+    }
 
     private fun ended() {
         isEnded = true
         releaseBody()
-        if (closesAfter()) context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        if (isClosing) context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
         onFinished()
     }
 
--- a/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerClient.kt
+++ b/net/src/main/kotlin/samphirechute/net/peer/PeerClient.kt
@@ -1,4 +1,4 @@
-package samphirechute.daemon.peer
+package samphirechute.net.peer
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -6,29 +6,19 @@
 import com.github.michaelbull.result.fold
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import samphirechute.core.HostPort
-import samphirechute.daemon.Runtime
 import samphirechute.net.ClientCall
 import samphirechute.net.ClientFailure
 import samphirechute.net.ClientRequest
 import samphirechute.net.ClientResponse
-
-/** The JSON of messages between instances. */
-internal val PeerJson =
-    Json {
-        ignoreUnknownKeys = true
-        allowStructuredMapKeys = true
-    }
+import samphirechute.net.HttpClient
 
 /** Calls other instances. A pooled connection that let a call time out is retired, since it may be silent for good. */
-internal class PeerClient(
-    private val runtime: Runtime,
+class PeerClient(
+    private val client: HttpClient,
+    key: String? = null,
 ) {
-    private val headers =
-        runtime.settings.keys.peer
-            ?.let { mapOf("Authorization" to "Bearer $it") }
-            .orEmpty()
+    private val headers = key?.let { mapOf("Authorization" to "Bearer $it") }.orEmpty()
 
     fun <Q, A> call(
         address: HostPort,
@@ -39,7 +29,7 @@
     ): ClientCall {
         val body = PeerJson.encodeToString(route.request, message).encodeToByteArray()
         val request = ClientRequest(address, "POST", route.path, body, headers = headers)
-        return runtime.client.call(request, timeoutMs) { result ->
+        return client.call(request, timeoutMs) { result ->
             result.fold({ onResult(read(it, route.reply)) }, { onResult(Err(failed(address, it))) })
         }
     }
@@ -48,7 +38,7 @@
         address: HostPort,
         failure: ClientFailure,
     ): PeerError {
-        if (failure is ClientFailure.TimedOut) runtime.client.retire(address)
+        if (failure is ClientFailure.TimedOut) client.retire(address)
         val isUnsent = failure is ClientFailure.ConnectFailed
         return if (isUnsent) PeerError.Unreachable(failure.message) else PeerError.Lost(failure.message)
     }
--- a/daemon/src/main/kotlin/samphirechute/daemon/peer/PeerError.kt
+++ b/net/src/main/kotlin/samphirechute/net/peer/PeerError.kt
@@ -1,20 +1,24 @@
-package samphirechute.daemon.peer
+package samphirechute.net.peer
 
 /** Why a call to another instance gave no usable answer. */
-internal sealed class PeerError {
+sealed class PeerError {
+    abstract val detail: String
+
     /** Nothing was sent. */
     data class Unreachable(
-        val detail: String,
+        override val detail: String,
     ) : PeerError()
 
     /** The call may have been carried out. */
     data class Lost(
-        val detail: String,
+        override val detail: String,
     ) : PeerError()
 
     /** The peer answered with an error. */
     data class Refused(
         val status: Int,
         val body: String,
-    ) : PeerError()
+    ) : PeerError() {
+        override val detail get() = "status $status: $body"
+    }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/flow/RetryBudget.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/RetryBudget.kt
@@ -7,7 +7,7 @@
  */
 class RetryBudget(
     private val share: Double = DEFAULT_SHARE,
-    private val floor: Int = DEFAULT_FLOOR,
+    private val floor: () -> Int = { DEFAULT_FLOOR },
 ) {
     private val slots = Array(WINDOW_SLOTS) { Slot() }
 
@@ -20,7 +20,7 @@
         val slot = slotAt(nowMs)
         val oldest = nowMs / SLOT_MS - WINDOW_SLOTS
         val recent = slots.filter { it.index > oldest }
-        if (recent.sumOf { it.retries } >= floor + share * recent.sumOf { it.successes }) return false
+        if (recent.sumOf { it.retries } >= floor() + share * recent.sumOf { it.successes }) return false
         slot.retries++
         return true
     }
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -0,0 +1,144 @@
+package samphirechute.routing.placing
+
+import kotlin.math.max
+
+/** The engines that a prompt is read on, the one that answers first, and the predicted time to its first event. */
+internal class EngineSplit(
+    val engines: List<UpstreamLoad>,
+    val partMs: Double,
+    val firstEventMs: Double,
+)
+
+/**
+ * Chooses engines for one prompt. The load that it answers is a mix in which a few long prompts hold most of the reading:
+ * a prompt that one engine reads alone delays every event of the requests that write there by the whole of its reading.
+ * So short prompts are packed onto few engines, which leaves others free of writers, and a long prompt is split over as
+ * many engines as it needs to be in time, first over those whose writers do not notice it.
+ */
+internal class EngineChoice(
+    private val profile: EngineProfile,
+    private val candidates: List<UpstreamLoad>,
+    private val request: PlaceRequest,
+    private val nowMs: Long,
+    private val spreadBy: Int?,
+) {
+    private val readMs = profile.readMs(request.promptTokens)
+    private val neededTokens = request.promptTokens + request.answerTokens
+    private val gapMs = request.targetGapMs ?: Long.MAX_VALUE
+
+    fun choose(): EngineSplit? {
+        val heads = candidates.filter(::canAnswer)
+        if (heads.isEmpty()) return null
+        if (readMs <= SHORT_READ_MS) return chooseShort(heads)
+        return gentleSplit(heads) ?: strictSplit(heads)
+    }
+
+    /** The fullest engine on which neither this request nor those beside it have to pause for too long. */
+    private fun chooseShort(heads: List<UpstreamLoad>): EngineSplit {
+        val safe = heads.filter { slackMs(it) >= readMs && firstEventMs(it, readMs) <= TARGET_SHARE * request.targetMs }
+        val chosen = safe.maxByOrNull(::packingRank) ?: heads.minBy { firstEventMs(it, readMs) }
+        return EngineSplit(listOf(chosen), readMs, firstEventMs(chosen, readMs))
+    }
+
+    /** Own failure domain first among equally full engines, since bytes between failure domains cost more. */
+    private fun packingRank(load: UpstreamLoad): Int {
+        if (spreadBy != null) return -load.running * SPREAD_RANK - spreadRank(load)
+        val near = if (load.upstream.failureDomain == request.failureDomain) 1 else 0
+        return load.running * 2 + near
+    }
+
+    private fun spreadRank(load: UpstreamLoad) =
+        (
+            load.upstream.id.value
+                .hashCode() xor (spreadBy ?: 0)
+        ).mod(SPREAD_RANK)
+
+    /** The fewest engines that meet the target without harm to others; null when there are none. */
+    private fun gentleSplit(heads: List<UpstreamLoad>): EngineSplit? {
+        val byWait = candidates.sortedBy { it.readWaitMs(nowMs) }
+        for (parts in 1..MAX_PARTS) {
+            val partMs = readMs / parts
+            val split = split(byWait.filter { canHelp(it) && slackMs(it) >= partMs }, heads, parts) ?: continue
+            if (split.firstEventMs <= TARGET_SHARE * request.targetMs) return split
+        }
+        return null
+    }
+
+    /** Meets the target at the cost of few others, or comes as near to it as it can. */
+    private fun strictSplit(heads: List<UpstreamLoad>): EngineSplit? {
+        val byHarm =
+            candidates.filter(::canHelp).sortedWith(compareBy({ it.strictWriters }, { it.readWaitMs(nowMs) }))
+        var best: EngineSplit? = null
+        for (parts in 1..MAX_PARTS) {
+            val split = split(byHarm, heads, parts) ?: break
+            if (split.firstEventMs <= TARGET_SHARE * request.targetMs) return split
+            if (best == null || split.firstEventMs < best.firstEventMs * WORTHWHILE) best = split
+        }
+        return best
+    }
+
+    /** The first [parts] of [ordered], one of which must be able to answer. */
+    private fun split(
+        ordered: List<UpstreamLoad>,
+        heads: List<UpstreamLoad>,
+        parts: Int,
+    ): EngineSplit? {
+        if (ordered.size < parts) return null
+        val chosen = ordered.take(parts)
+        val head =
+            chosen.filter { it in heads }.minByOrNull { it.strictWriters * WRITER_RANK + it.running }
+                ?: heads.filter { it in ordered }.minByOrNull { it.readWaitMs(nowMs) }
+                ?: return null
+        val helpers = chosen.filter { it !== head }.take(parts - 1)
+        val all = listOf(head) + helpers
+        val partMs = readMs / parts
+        return EngineSplit(all, partMs, all.maxOf { firstEventMs(it, partMs) })
+    }
+
+    private fun canAnswer(load: UpstreamLoad) =
+        load.running < load.upstream.slots && load.memoryTokens + neededTokens <= profile.memoryTokens
+
+    private fun canHelp(load: UpstreamLoad) = load.helping < load.upstream.slots
+
+    private fun firstEventMs(
+        load: UpstreamLoad,
+        partMs: Double,
+    ) = load.readWaitMs(nowMs) + partMs * load.pace + load.passMs(profile) * PASSES_TO_FIRST + profile.stepMs
+
+    /** The reading that may be added on an engine before a pause between events there becomes too long. */
+    private fun slackMs(load: UpstreamLoad): Double {
+        val shortest =
+            load.shortestGapMs() ?: return if (gapMs == Long.MAX_VALUE) Double.MAX_VALUE else ownSlackMs(load)
+        return minOf(ownSlackMs(load), shortest * GAP_SHARE - load.passMs(profile) - load.readWaitMs(nowMs))
+    }
+
+    /** What is read before the first event of this request delays none of its own. */
+    private fun ownSlackMs(load: UpstreamLoad): Double =
+        if (load.readWaitMs(nowMs) + load.passMs(profile) <= max(gapMs.toDouble(), request.targetMs.toDouble())) {
+            Double.MAX_VALUE
+        } else {
+            0.0
+        }
+
+    private companion object {
+        /** The engine and 16 helpers, which is the most that the engines accept. */
+        const val MAX_PARTS = 17
+
+        /** Prompts that read faster than this are never split. */
+        const val SHORT_READ_MS = 110.0
+
+        /** The part of the target that a prediction may take; the rest covers the way and what comes meanwhile. */
+        const val TARGET_SHARE = 0.6
+
+        /** The part of an allowed pause that predicted work may take. */
+        const val GAP_SHARE = 0.85
+
+        /** A request that arrives waits for the end of the running pass and shares the next one. */
+        const val PASSES_TO_FIRST = 1.5
+
+        /** One more engine must bring the first event at least this much nearer. */
+        const val WORTHWHILE = 0.9
+        const val WRITER_RANK = 100
+        const val SPREAD_RANK = 997
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
@@ -0,0 +1,111 @@
+package samphirechute.routing.placing
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import samphirechute.core.FailureDomain
+import samphirechute.core.HostPort
+import samphirechute.core.InstanceId
+import samphirechute.core.RequestId
+import samphirechute.core.ServiceName
+import samphirechute.core.TeamName
+import samphirechute.core.UpstreamId
+
+/** A request that needs an upstream. Durations count from the moment at which it was sent. */
+@Serializable
+data class PlaceRequest(
+    val request: RequestId,
+    val instance: InstanceId,
+    val failureDomain: FailureDomain,
+    val service: ServiceName,
+    val team: TeamName? = null,
+    /** 0 is the most urgent. */
+    val priority: Int = DEFAULT_PRIORITY,
+    /** 0 for plain applications. */
+    val promptTokens: Long = 0,
+    val answerTokens: Long = 0,
+    /** The time to the first byte within which the answer is of full use. */
+    val targetMs: Long,
+    /** The longest useful pause between events; null for answers that are no stream. */
+    val targetGapMs: Long? = null,
+    val deadlineMs: Long,
+    /** Upstreams that have failed this request. */
+    val excluded: Set<UpstreamId> = emptySet(),
+) {
+    companion object {
+        const val DEFAULT_PRIORITY = 5
+    }
+}
+
+/** Where a request goes, or why it goes nowhere. */
+@Serializable
+sealed class Placement {
+    @Serializable
+    @SerialName("granted")
+    data class Granted(
+        val upstream: UpstreamId,
+        val address: HostPort,
+        /** Engines that read parts of the prompt besides [upstream]. */
+        val helpers: List<HostPort> = emptyList(),
+        /** The predicted time to the first byte. */
+        val firstByteMs: Long = 0,
+    ) : Placement()
+
+    /** The request cannot be served in time; it may come back after [retryAfterMs]. */
+    @Serializable
+    @SerialName("refused")
+    data class Refused(
+        val reason: RefusedReason,
+        val retryAfterMs: Long,
+    ) : Placement()
+}
+
+@Serializable
+enum class RefusedReason {
+    /** No upstream of the service is open. */
+    @SerialName("no_upstream")
+    NO_UPSTREAM,
+
+    /** All upstreams are busy for longer than the request can wait. */
+    @SerialName("overloaded")
+    OVERLOADED,
+
+    /** The prompt needs more memory than any upstream has. */
+    @SerialName("too_large")
+    TOO_LARGE,
+
+    /** The request waited and its time is over. */
+    @SerialName("expired")
+    EXPIRED,
+}
+
+/** How a placed request ended. */
+@Serializable
+data class PlaceResult(
+    val request: RequestId,
+    val upstream: UpstreamId,
+    val outcome: PlaceOutcome,
+    /** From dispatch to the first byte; null when none came. */
+    val firstByteMs: Long? = null,
+)
+
+@Serializable
+enum class PlaceOutcome {
+    @SerialName("done")
+    DONE,
+
+    /** The upstream says that it did not run the request. */
+    @SerialName("refused")
+    REFUSED,
+
+    /** No connection, a broken or wrong answer, or silence. */
+    @SerialName("failed")
+    FAILED,
+
+    /** The upstream at the address is another one. */
+    @SerialName("gone")
+    GONE,
+
+    /** The client left. */
+    @SerialName("cancelled")
+    CANCELLED,
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -0,0 +1,289 @@
+package samphirechute.routing.placing
+
+import samphirechute.core.RequestId
+import samphirechute.core.ServiceName
+import samphirechute.core.UpstreamId
+
+/** A decision on a request that was placed, had waited, or is refused. */
+data class Decision(
+    val request: PlaceRequest,
+    val placement: Placement,
+)
+
+/**
+ * Decides where each request runs, which wait and which are refused. It has no clock: times are those passed in. The
+ * coordinator keeps one for all instances, and each instance one for the time in which it reaches no coordinator.
+ */
+class Placer(
+    /** When set, requests are spread instead of packed: several placers that know nothing of each other would all pack the same engine. */
+    private val spreadBy: Int? = null,
+) {
+    private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
+    private val pools = HashMap<ServiceName, PoolQueue>()
+    private val placed = HashMap<RequestId, Placed>()
+
+    fun setPools(profiles: List<PoolProfile>) {
+        val services = profiles.map { it.service }.toSet()
+        pools.keys.retainAll(services)
+        profiles.forEach { profile -> pools.getOrPut(profile.service) { PoolQueue(profile) }.profile = profile }
+    }
+
+    fun setUpstreams(upstreams: List<PlacedUpstream>) {
+        val ids = upstreams.map { it.id }.toSet()
+        loads.keys.retainAll(ids)
+        upstreams.forEach { upstream ->
+            val known = loads[upstream.id]
+            if (known == null) loads[upstream.id] = UpstreamLoad(upstream) else known.upstream = upstream
+        }
+    }
+
+    /** Places a request, or gives null when it waits; its decision then comes from a later call. */
+    fun place(
+        request: PlaceRequest,
+        nowMs: Long,
+    ): Placement? {
+        val pool = pools[request.service] ?: return refused(RefusedReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+        val open = loads.values.filter { it.upstream.service == request.service && it.upstream.isOpen }
+        if (open.isEmpty()) return refused(RefusedReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+        if (isTooLarge(pool, request)) return refused(RefusedReason.TOO_LARGE, TOO_LARGE_RETRY_MS)
+        if (!pool.hasBefore(request)) tryPlace(pool, request, nowMs)?.let { return it }
+        val waitMs = pool.expectedWaitMs(request, nowMs)
+        val patienceMs = patienceMs(request)
+        if (waitMs > patienceMs) return refused(RefusedReason.OVERLOADED, waitMs)
+        pool.add(request, nowMs + patienceMs, nowMs)
+        return null
+    }
+
+    /** Takes note of a request that an instance has placed by itself. */
+    fun adopt(
+        request: PlaceRequest,
+        upstream: UpstreamId,
+        nowMs: Long,
+    ) {
+        if (request.request in placed) return
+        val load = loads[upstream] ?: return
+        val profile = pools[request.service]?.profile?.engine
+        record(request, listOf(load), profile?.readMs(request.promptTokens) ?: 0.0, 0.0, nowMs)
+    }
+
+    fun ended(
+        result: PlaceResult,
+        nowMs: Long,
+    ): List<Decision> {
+        val record = placed[result.request]
+        loads[result.upstream]?.let { note(it, result, nowMs) }
+        if (record == null || record.head != result.upstream) return emptyList()
+        free(record, nowMs)
+        val pool = pools[record.request.service] ?: return emptyList()
+        pool.noteEnd(nowMs)
+        return dispatch(pool, nowMs)
+    }
+
+    /** The client of a waiting request has left. */
+    fun withdraw(
+        request: RequestId,
+        nowMs: Long,
+    ): List<Decision> {
+        pools.values.forEach { it.remove(request) }
+        placed[request]?.let { free(it, nowMs) }
+        return pools.values.flatMap { dispatch(it, nowMs) }
+    }
+
+    /** Dispatches what has room by now, refuses what waited too long, and forgets what was never reported as ended. */
+    fun tick(nowMs: Long): List<Decision> {
+        placed.values.filter { nowMs > it.untilMs }.forEach { free(it, nowMs) }
+        return pools.values.flatMap { pool ->
+            val expired = pool.takeExpired(nowMs).map { Decision(it, refused(RefusedReason.EXPIRED, RETRY_MS)) }
+            expired + dispatch(pool, nowMs)
+        }
+    }
+
+    fun placedOn(upstream: UpstreamId): Int = loads[upstream]?.running ?: 0
+
+    val waiting: Int get() = pools.values.sumOf { it.size }
+
+    private fun dispatch(
+        pool: PoolQueue,
+        nowMs: Long,
+    ): List<Decision> {
+        if (pool.size == 0) return emptyList()
+        val decisions = ArrayList<Decision>()
+        for (request in pool.inOrder()) {
+            val granted = tryPlace(pool, request, nowMs) ?: continue
+            pool.remove(request.request)
+            decisions += Decision(request, granted)
+        }
+        return decisions
+    }
+
+    private fun tryPlace(
+        pool: PoolQueue,
+        request: PlaceRequest,
+        nowMs: Long,
+    ): Placement.Granted? {
+        val candidates = candidates(pool.profile, request, nowMs)
+        val engine = pool.profile.engine
+        return if (engine !=
+            null
+        ) {
+            placeOnEngines(engine, candidates, request, nowMs)
+        } else {
+            placePlain(candidates, request, nowMs)
+        }
+    }
+
+    private fun placeOnEngines(
+        profile: EngineProfile,
+        candidates: List<UpstreamLoad>,
+        request: PlaceRequest,
+        nowMs: Long,
+    ): Placement.Granted? {
+        val split = EngineChoice(profile, candidates, request, nowMs, spreadBy).choose() ?: return null
+        record(request, split.engines, split.partMs, split.firstEventMs, nowMs)
+        return granted(split.engines, split.firstEventMs)
+    }
+
+    /** The least loaded upstream, of the own failure domain when there are several. */
+    private fun placePlain(
+        candidates: List<UpstreamLoad>,
+        request: PlaceRequest,
+        nowMs: Long,
+    ): Placement.Granted? {
+        val free = candidates.filter { it.running < it.upstream.slots }
+        val chosen =
+            free.minWithOrNull(
+                compareBy({ it.running }, { it.upstream.failureDomain != request.failureDomain }, { it.typicalMs }),
+            ) ?: return null
+        record(request, listOf(chosen), 0.0, chosen.typicalMs, nowMs)
+        return granted(listOf(chosen), chosen.typicalMs)
+    }
+
+    /** Those that are silent, paused or excluded are used only when no other is open. */
+    private fun candidates(
+        profile: PoolProfile,
+        request: PlaceRequest,
+        nowMs: Long,
+    ): List<UpstreamLoad> {
+        val open =
+            loads.values.filter {
+                it.upstream.service == request.service && it.upstream.isOpen && it.upstream.id !in request.excluded &&
+                    !isAtColdLimit(it, profile, nowMs)
+            }
+        val trusted = open.filter { !it.isPaused(nowMs) && !isDoubtful(it, nowMs) }
+        return trusted.ifEmpty { open }
+    }
+
+    private fun isDoubtful(
+        load: UpstreamLoad,
+        nowMs: Long,
+    ) = load.upstream.isSilent && nowMs - load.answeredMs > TRUST_AFTER_ANSWER_MS
+
+    /** An upstream may turn cold without an announcement, so none gets more than a cold one carries. */
+    private fun isAtColdLimit(
+        load: UpstreamLoad,
+        profile: PoolProfile,
+        nowMs: Long,
+    ) = profile.coldRequestsPerS > 0 && load.recentGrants(nowMs) >= profile.coldRequestsPerS * COLD_SHARE
+
+    private fun record(
+        request: PlaceRequest,
+        engines: List<UpstreamLoad>,
+        partMs: Double,
+        predictedMs: Double,
+        nowMs: Long,
+    ) {
+        val gapMs = request.targetGapMs ?: Long.MAX_VALUE
+        engines.forEachIndexed { index, load ->
+            val isHead = index == 0
+            val memory = if (isHead) request.promptTokens + request.answerTokens else 0L
+            load.add(request.request, UpstreamLoad.Job(isHead, partMs, memory, gapMs, nowMs, predictedMs), nowMs)
+        }
+        val head = engines.first().upstream.id
+        placed[request.request] = Placed(request, head, engines, nowMs + request.deadlineMs + END_GRACE_MS)
+    }
+
+    private fun free(
+        record: Placed,
+        nowMs: Long,
+    ) {
+        placed.remove(record.request.request)
+        record.engines.forEach { it.remove(record.request.request, nowMs) }
+    }
+
+    private fun note(
+        load: UpstreamLoad,
+        result: PlaceResult,
+        nowMs: Long,
+    ) {
+        val firstByteMs = result.firstByteMs
+        when (result.outcome) {
+            PlaceOutcome.FAILED, PlaceOutcome.GONE -> {
+                load.failed(nowMs)
+            }
+
+            PlaceOutcome.REFUSED -> {
+                load.refused(nowMs)
+            }
+
+            PlaceOutcome.DONE, PlaceOutcome.CANCELLED -> {
+                if (firstByteMs !=
+                    null
+                ) {
+                    load.answered(firstByteMs, null, nowMs)
+                }
+            }
+        }
+    }
+
+    private fun granted(
+        engines: List<UpstreamLoad>,
+        firstByteMs: Double,
+    ) = Placement.Granted(
+        engines.first().upstream.id,
+        engines.first().upstream.address,
+        engines.drop(1).map { it.upstream.address },
+        firstByteMs.toLong(),
+    )
+
+    private fun isTooLarge(
+        pool: PoolQueue,
+        request: PlaceRequest,
+    ): Boolean {
+        val memoryTokens = pool.profile.engine?.memoryTokens ?: return false
+        return request.promptTokens + request.answerTokens > memoryTokens
+    }
+
+    /** Callers leave a stream that has not begun after two seconds or four times their target. */
+    private fun patienceMs(request: PlaceRequest): Long {
+        val leaveMs = maxOf(LEAVE_MS, LEAVE_TARGETS * request.targetMs, LEAVE_GAPS * (request.targetGapMs ?: 0))
+        return (minOf(leaveMs, request.deadlineMs) * PATIENCE_SHARE).toLong()
+    }
+
+    private fun refused(
+        reason: RefusedReason,
+        retryAfterMs: Long,
+    ) = Placement.Refused(reason, retryAfterMs.coerceIn(RETRY_MS, LONGEST_RETRY_MS))
+
+    private class Placed(
+        val request: PlaceRequest,
+        val head: UpstreamId,
+        val engines: List<UpstreamLoad>,
+        val untilMs: Long,
+    )
+
+    private companion object {
+        const val NO_UPSTREAM_RETRY_MS = 1_000L
+        const val TOO_LARGE_RETRY_MS = 3_000L
+        const val RETRY_MS = 300L
+        const val LONGEST_RETRY_MS = 3_000L
+        const val TRUST_AFTER_ANSWER_MS = 2_000L
+        const val END_GRACE_MS = 1_000L
+        const val COLD_SHARE = 0.9
+        const val LEAVE_MS = 2_000L
+        const val LEAVE_TARGETS = 4L
+        const val LEAVE_GAPS = 8L
+
+        /** The rest of a caller's patience is left for reading the prompt. */
+        const val PATIENCE_SHARE = 0.7
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
@@ -0,0 +1,117 @@
+package samphirechute.routing.placing
+
+import samphirechute.core.RequestId
+import kotlin.math.max
+
+/**
+ * What was placed on one upstream and has not ended. Reading is kept as the time at which all of it will be done, since
+ * such a time stays right while nothing happens.
+ */
+internal class UpstreamLoad(
+    var upstream: PlacedUpstream,
+) {
+    private val jobs = LinkedHashMap<RequestId, Job>()
+    private val recentGrantsMs = ArrayDeque<Long>()
+    private var readDoneMs = 0.0
+
+    /** The upstream takes nothing until then, after failures. */
+    var pausedUntilMs = 0L
+        private set
+    private var failures = 0
+    var answeredMs = Long.MIN_VALUE / 2
+        private set
+
+    /** How much slower than its profile the upstream has been lately; 1 is as announced. */
+    var pace = 1.0
+        private set
+
+    /** Time to the first byte of a plain application, learned. */
+    var typicalMs = 0.0
+        private set
+
+    val running: Int get() = jobs.values.count { it.isHead }
+    val helping: Int get() = jobs.values.count { !it.isHead }
+    val memoryTokens: Long get() = jobs.values.sumOf { it.memoryTokens }
+
+    /** Requests with pauses short enough to suffer from long reading beside them. */
+    val strictWriters: Int get() = jobs.values.count { it.isHead && it.gapMs <= STRICT_GAP_MS }
+
+    /** The shortest pause that a request here may have; null when none runs. */
+    fun shortestGapMs(): Long? = jobs.values.filter { it.isHead }.minOfOrNull { it.gapMs }
+
+    fun readWaitMs(nowMs: Long) = max(0.0, readDoneMs - nowMs)
+
+    fun passMs(profile: EngineProfile) = profile.passMs(running, memoryTokens) * pace
+
+    fun isPaused(nowMs: Long) = nowMs < pausedUntilMs
+
+    /** Grants within the last second. */
+    fun recentGrants(nowMs: Long): Int {
+        while (recentGrantsMs.isNotEmpty() && recentGrantsMs.first() <= nowMs - WINDOW_MS) recentGrantsMs.removeFirst()
+        return recentGrantsMs.size
+    }
+
+    fun add(
+        request: RequestId,
+        job: Job,
+        nowMs: Long,
+    ) {
+        jobs[request] = job
+        readDoneMs = max(readDoneMs, nowMs.toDouble()) + job.readMs * pace
+        if (job.isHead) recentGrantsMs += nowMs
+    }
+
+    fun remove(
+        request: RequestId,
+        nowMs: Long,
+    ): Job? {
+        val job = jobs.remove(request) ?: return null
+        if (jobs.isEmpty()) readDoneMs = nowMs.toDouble()
+        return job
+    }
+
+    /** [ratio] is the seen time to the first byte over the predicted one. */
+    fun answered(
+        firstByteMs: Long,
+        ratio: Double?,
+        nowMs: Long,
+    ) {
+        answeredMs = nowMs
+        failures = 0
+        pausedUntilMs = 0
+        typicalMs = if (typicalMs == 0.0) firstByteMs.toDouble() else typicalMs + WEIGHT * (firstByteMs - typicalMs)
+        if (ratio != null) pace = (pace + WEIGHT * (pace * ratio - pace)).coerceIn(1.0, MAX_PACE)
+    }
+
+    /** Each further failure doubles the pause, so that a dead upstream costs few attempts. */
+    fun failed(nowMs: Long) {
+        failures++
+        val pauseMs = minOf(FIRST_PAUSE_MS shl minOf(failures - 1, MAX_DOUBLINGS), LONGEST_PAUSE_MS)
+        pausedUntilMs = max(pausedUntilMs, nowMs + pauseMs)
+    }
+
+    /** The upstream had no room, so what is known of its load is too low; it gets a moment. */
+    fun refused(nowMs: Long) {
+        pausedUntilMs = max(pausedUntilMs, nowMs + REFUSED_PAUSE_MS)
+    }
+
+    class Job(
+        val isHead: Boolean,
+        val readMs: Double,
+        val memoryTokens: Long,
+        val gapMs: Long,
+        val placedMs: Long,
+        val predictedMs: Double,
+    )
+
+    private companion object {
+        const val STRICT_GAP_MS = 250L
+        const val WINDOW_MS = 1_000L
+        const val WEIGHT = 0.2
+        const val MAX_PACE = 10.0
+        const val FIRST_PAUSE_MS = 400L
+        const val REFUSED_PAUSE_MS = 100L
+        const val LONGEST_PAUSE_MS = 5_000L
+        const val MAX_DOUBLINGS = 4
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -0,0 +1,105 @@
+package samphirechute.serving.cluster
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.serializer
+import samphirechute.core.FailureDomain
+import samphirechute.core.InstanceId
+import samphirechute.core.RequestId
+import samphirechute.core.UpstreamId
+import samphirechute.net.peer.PeerRoute
+import samphirechute.routing.placing.PlaceRequest
+import samphirechute.routing.placing.PlaceResult
+import samphirechute.routing.placing.Placement
+import samphirechute.state.command.Command
+import samphirechute.state.command.CommandResult
+import samphirechute.state.raft.RaftMessage
+import samphirechute.state.store.AdoptedConfig
+
+/** All paths between instances. */
+object ClusterRoutes {
+    val raft = PeerRoute("/peer/v1/raft", RaftMessage.serializer(), Unit.serializer())
+    val commands = PeerRoute("/peer/v1/commands", Command.serializer(), CommandReply.serializer())
+    val read = PeerRoute("/peer/v1/configuration", Unit.serializer(), ReadReply.serializer())
+    val watch = PeerRoute("/peer/v1/watch", WatchRequest.serializer(), WatchReply.serializer())
+    val place = PeerRoute("/peer/v1/place", PlaceRequest.serializer(), PlaceReply.serializer())
+    val await = PeerRoute("/peer/v1/place/await", AwaitRequest.serializer(), PlaceReply.serializer())
+    val ends = PeerRoute("/peer/v1/place/ends", PlaceEnds.serializer(), Unit.serializer())
+}
+
+/** What became of a command at a control instance. */
+@Serializable
+data class CommandReply(
+    val status: CommandStatus,
+    val result: CommandResult? = null,
+    val leader: InstanceId? = null,
+)
+
+@Serializable
+enum class CommandStatus { COMMITTED, NOT_LEADER, REFUSED, UNKNOWN }
+
+/** [isConfirmed] is false at an instance that cannot be sure of the newest configuration. */
+@Serializable
+data class ReadReply(
+    val isConfirmed: Boolean,
+    val config: AdoptedConfig? = null,
+)
+
+/** Asks a control instance for all that is newer than what the sender has. The answer may take up to a second. */
+@Serializable
+data class WatchRequest(
+    val from: InstanceId,
+    val isEntry: Boolean,
+    val revision: Long,
+    val drainVersion: Long,
+    /** The life of the control instance that [recordsVersion] belongs to. */
+    val life: Long,
+    val recordsVersion: Long,
+)
+
+@Serializable
+data class WatchReply(
+    val life: Long,
+    val recordsVersion: Long,
+    val records: List<UpstreamRecord> = emptyList(),
+    val config: AdoptedConfig? = null,
+    val drains: DrainedDomains? = null,
+    val leader: InstanceId? = null,
+    val members: List<InstanceId> = emptyList(),
+    /** True while the instance leads or has just heard from the leader. */
+    val isCurrent: Boolean,
+    /** The number of entry instances that watch. */
+    val entries: Int,
+)
+
+@Serializable
+data class DrainedDomains(
+    val version: Long,
+    val domains: Set<FailureDomain>,
+)
+
+@Serializable
+data class AwaitRequest(
+    val request: RequestId,
+)
+
+/** Exactly one of the parts is set: a decision, word that the request waits, or who decides. */
+@Serializable
+data class PlaceReply(
+    val placement: Placement? = null,
+    val isWaiting: Boolean = false,
+    val coordinator: InstanceId? = null,
+)
+
+/** Requests that have ended, that an instance has placed itself, and that no longer wait. */
+@Serializable
+data class PlaceEnds(
+    val results: List<PlaceResult> = emptyList(),
+    val own: List<OwnPlacement> = emptyList(),
+    val withdrawn: List<RequestId> = emptyList(),
+)
+
+@Serializable
+data class OwnPlacement(
+    val request: PlaceRequest,
+    val upstream: UpstreamId,
+)
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/UpstreamView.kt
@@ -0,0 +1,74 @@
+package samphirechute.serving.cluster
+
+import com.github.michaelbull.result.fold
+import samphirechute.core.FailureDomain
+import samphirechute.core.log.KeyValueLog
+import samphirechute.core.time.TimerService
+import samphirechute.routing.placing.PlacedUpstream
+import samphirechute.routing.placing.Placer
+import samphirechute.state.store.AdoptedConfig
+
+/** Joins the configuration, the drains and the announcements into what a [Placer] needs. */
+class UpstreamView(
+    private val reader: ConfigReader,
+    private val timer: TimerService,
+    private val placer: Placer,
+) {
+    var config: ServingConfig? = null
+        private set
+    var drains = DrainedDomains(0, emptySet())
+        private set
+    private var records = emptyList<UpstreamRecord>()
+
+    val revision: Long get() = config?.revision ?: 0
+
+    /** Puts a configuration in force, unless a newer one is. */
+    fun configured(adopted: AdoptedConfig) {
+        if (adopted.revision <= revision) return
+        reader.read(adopted.content).fold(::applied) { problem ->
+            log.warn("configuration_unreadable", mapOf("revision" to adopted.revision, "problem" to problem))
+        }
+    }
+
+    fun drained(next: DrainedDomains) {
+        if (next.version <= drains.version) return
+        log.event("drains_changed", mapOf("version" to next.version, "domains" to next.domains))
+        drains = next
+        place()
+    }
+
+    fun upstreams(next: List<UpstreamRecord>) {
+        records = next
+        place()
+    }
+
+    private fun applied(next: ServingConfig) {
+        log.event(
+            "configuration_in_force",
+            mapOf("revision" to next.revision, "before" to revision, "routes" to next.routes.size),
+        )
+        config = next
+        placer.setPools(next.pools)
+        place()
+    }
+
+    private fun place() = placer.setUpstreams(records.filter { it.state != UpstreamState.GONE }.map(::placed))
+
+    private fun placed(record: UpstreamRecord) =
+        PlacedUpstream(
+            record.id,
+            record.service,
+            record.address,
+            record.failureDomain,
+            record.slots,
+            isOpen = record.state == UpstreamState.READY && !isDrained(record.failureDomain),
+            isSilent = record.isSilent,
+            coldUntilMs = if (record.coldRemainingMs > 0) timer.nowMs() + record.coldRemainingMs else 0,
+        )
+
+    private fun isDrained(domain: FailureDomain) = domain in drains.domains
+
+    private companion object {
+        val log = KeyValueLog("view")
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -0,0 +1,129 @@
+package samphirechute.serving.cluster
+
+import com.github.michaelbull.result.fold
+import samphirechute.core.HostPort
+import samphirechute.core.InstanceId
+import samphirechute.core.log.KeyValueLog
+import samphirechute.core.time.TimerService
+import samphirechute.net.peer.PeerClient
+import samphirechute.net.peer.PeerError
+import samphirechute.state.store.AdoptedConfig
+
+/** What a process learns from the control instances. Revisions and versions only grow within one life of a process. */
+interface WatchSink {
+    val revision: Long
+    val drainVersion: Long
+
+    fun configured(config: AdoptedConfig)
+
+    fun drained(drains: DrainedDomains)
+
+    fun upstreams(records: List<UpstreamRecord>)
+}
+
+/**
+ * Follows all control instances that are known: one open question to each, which is answered when there is news or after
+ * a second. So news arrives at once, and an instance that is silent is noticed within two seconds.
+ */
+class Watcher(
+    private val settings: ServingSettings,
+    private val timer: TimerService,
+    private val client: PeerClient,
+    private val isEntry: Boolean,
+    private val sink: WatchSink,
+) {
+    private val log = KeyValueLog("watch")
+    private val links = LinkedHashMap<InstanceId, Link>()
+
+    /** The instance that leads, as the instance that was heard last and is in touch with it says. */
+    var leader: InstanceId? = null
+        private set
+
+    /** True once an instance that is in touch with a majority has answered. */
+    var isConfirmed = false
+        private set
+
+    /** The number of entry instances, at least 1. */
+    var entries = 1
+        private set
+
+    fun start() = settings.seeds.forEach { follow(InstanceId(it.toString())) }
+
+    /** Control instances that answered lately. */
+    fun reachable(): List<InstanceId> = links.values.filter { it.isUp }.map { it.instance }
+
+    fun isReachable(instance: InstanceId) = links[instance]?.isUp ?: false
+
+    private fun follow(instance: InstanceId) {
+        val address = instance.address ?: return
+        if (instance == settings.instance || instance in links) return
+        links[instance] = Link(instance, address).also { it.ask() }
+    }
+
+    private fun heard(
+        link: Link,
+        reply: WatchReply,
+    ) {
+        if (reply.isCurrent) {
+            if (reply.leader != leader) {
+                log.event("leader_changed", mapOf("leader" to reply.leader, "from" to link.instance))
+                leader = reply.leader
+            }
+            entries = maxOf(1, reply.entries)
+        }
+        reply.config?.let { if (it.revision > sink.revision) sink.configured(it) }
+        reply.drains?.let { if (it.version > sink.drainVersion) sink.drained(it) }
+        if (reply.records.isNotEmpty()) sink.upstreams(reply.records)
+        if (reply.isCurrent) isConfirmed = true
+        reply.members.forEach(::follow)
+    }
+
+    private inner class Link(
+        val instance: InstanceId,
+        private val address: HostPort,
+    ) {
+        var isUp = false
+        private var life = 0L
+        private var recordsVersion = 0L
+        private var failures = 0
+
+        fun ask() {
+            val request =
+                WatchRequest(settings.instance, isEntry, sink.revision, sink.drainVersion, life, recordsVersion)
+            client.call(address, ClusterRoutes.watch, request, TIMEOUT_MS) { it.fold(::answered, ::failed) }
+        }
+
+        private fun answered(reply: WatchReply) {
+            if (!isUp) log.event("control_reached", mapOf("instance" to instance, "failures" to failures))
+            isUp = true
+            failures = 0
+            life = reply.life
+            recordsVersion = reply.recordsVersion
+            heard(this, reply)
+            timer.after(PAUSE_MS) { ask() }
+        }
+
+        private fun failed(error: PeerError) {
+            if (isUp || failures == 0) log.event("control_lost", mapOf("instance" to instance, "error" to error.detail))
+            isUp = false
+            failures++
+            if (failures > FORGET_AFTER && instance.address !in settings.seeds) {
+                links -= instance
+                return
+            }
+            timer.after(if (failures > FAST_RETRIES) SLOW_RETRY_MS else RETRY_MS) { ask() }
+        }
+    }
+
+    private companion object {
+        /** Longer than a control instance keeps a question open. */
+        const val TIMEOUT_MS = 1_600L
+
+        /** Gathers changes that come together. */
+        const val PAUSE_MS = 20L
+        const val RETRY_MS = 150L
+        const val SLOW_RETRY_MS = 700L
+        const val FAST_RETRIES = 10
+        const val FORGET_AFTER = 200
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -0,0 +1,83 @@
+package samphirechute.serving.control
+
+import samphirechute.core.log.KeyValueLog
+import samphirechute.net.EventLoop
+import samphirechute.net.HttpClient
+import samphirechute.net.peer.PeerApi
+import samphirechute.net.peer.PeerClient
+import samphirechute.routing.placing.Placer
+import samphirechute.serving.cluster.ConfigReader
+import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.ServingSettings
+import samphirechute.serving.cluster.UpstreamRecord
+import samphirechute.serving.cluster.UpstreamView
+import samphirechute.serving.cluster.WatchSink
+import samphirechute.serving.cluster.Watcher
+import samphirechute.state.store.AdoptedConfig
+
+/** A control instance: the durable state, the announcements of upstreams, and the placement of requests. */
+class ControlNode(
+    private val settings: ServingSettings,
+    private val loop: EventLoop,
+    reader: ConfigReader,
+    life: Long = System.currentTimeMillis(),
+) : AutoCloseable {
+    private val timer = loop.timer
+    private val client = PeerClient(HttpClient(loop, CONNECT_TIMEOUT_MS))
+    private val placer = Placer()
+    private val view = UpstreamView(reader, timer, placer)
+
+    val store = StoreKeeper(settings, timer, client, loop::post)
+    val registrar: Registrar = Registrar(timer, settings.announceEveryMs, ::upstreamsChanged)
+    private val watches = WatchDesk(timer, store, registrar, life)
+    private val places = PlaceDesk(timer, store, placer)
+    private val watcher = Watcher(settings, timer, client, isEntry = false, Sink())
+
+    /** The paths for other instances. */
+    val peers =
+        PeerApi().also {
+            store.serve(it)
+            watches.serve(it)
+            places.serve(it)
+        }
+
+    fun start() {
+        store.onChanged = ::stateChanged
+        store.start()
+        stateChanged()
+        registrar.start()
+        places.start()
+        watcher.start()
+        log.event("control_started", mapOf("instance" to settings.instance, "name" to settings.name))
+    }
+
+    override fun close() = store.close()
+
+    private fun stateChanged() {
+        store.state.adopted?.let(view::configured)
+        view.drained(watches.drains())
+        watches.changed()
+    }
+
+    private fun upstreamsChanged() {
+        view.upstreams(registrar.table.all())
+        watches.changed()
+    }
+
+    /** Only announcements are taken from other control instances; the durable state comes through the log. */
+    private inner class Sink : WatchSink {
+        override val revision = Long.MAX_VALUE
+        override val drainVersion = Long.MAX_VALUE
+
+        override fun configured(config: AdoptedConfig) = Unit
+
+        override fun drained(drains: DrainedDomains) = Unit
+
+        override fun upstreams(records: List<UpstreamRecord>) = registrar.learned(records)
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MS = 400
+        val log = KeyValueLog("control")
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/control/MembershipKeeper.kt
@@ -0,0 +1,63 @@
+package samphirechute.serving.control
+
+import samphirechute.core.OperationId
+import samphirechute.core.log.KeyValueLog
+import samphirechute.state.command.Command
+import samphirechute.state.command.StoreMember
+import samphirechute.state.raft.RaftNode
+
+/**
+ * Keeps the membership of the store without an operator. An instance that asks to join is added; the log counts it only
+ * after it has caught up. A voter that has been silent for long is removed when the number of voters is even: then one
+ * fewer makes the majority smaller, while from an odd number nothing would be gained.
+ */
+internal class MembershipKeeper(
+    private val propose: (Command) -> Unit,
+) {
+    private var lastMs = Long.MIN_VALUE / 2
+
+    fun tick(
+        node: RaftNode,
+        nowMs: Long,
+    ) {
+        if (!node.isLeader || nowMs - lastMs < EVERY_MS) return
+        lastMs = nowMs
+        val candidate = node.candidates.firstOrNull()
+        val silent = node.silentMembers(SILENT_MS)
+        when {
+            candidate != null -> add(candidate, node)
+            silent.isNotEmpty() && node.members.size % 2 == 0 -> remove(silent.first(), node)
+        }
+    }
+
+    private fun add(
+        candidate: StoreMember,
+        node: RaftNode,
+    ) {
+        log.event("member_joining", mapOf("instance" to candidate.instance, "disk" to candidate.diskId))
+        propose(Command.AddMember(operationId("join", candidate, node), candidate))
+    }
+
+    private fun remove(
+        silent: StoreMember,
+        node: RaftNode,
+    ) {
+        log.event("member_removing", mapOf("instance" to silent.instance, "silent_ms" to SILENT_MS))
+        propose(Command.RemoveMember(operationId("leave", silent, node), silent.instance))
+    }
+
+    /** The same disk may leave and join again, which are changes of their own. */
+    private fun operationId(
+        kind: String,
+        member: StoreMember,
+        node: RaftNode,
+    ) = OperationId("$kind-${member.instance}-${member.diskId}-${node.term}-${node.lastIndex}")
+
+    private companion object {
+        const val EVERY_MS = 250L
+
+        /** Longer than a restart and a usual cut, after which the voter comes back by itself. */
+        const val SILENT_MS = 9_000L
+        val log = KeyValueLog("membership")
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
@@ -0,0 +1,85 @@
+package samphirechute.serving.control
+
+import samphirechute.core.RequestId
+import samphirechute.core.time.TimerService
+import samphirechute.net.peer.PeerApi
+import samphirechute.net.peer.PeerExchange
+import samphirechute.routing.placing.Decision
+import samphirechute.routing.placing.PlaceRequest
+import samphirechute.routing.placing.Placement
+import samphirechute.routing.placing.Placer
+import samphirechute.serving.cluster.ClusterRoutes
+import samphirechute.serving.cluster.PlaceReply
+
+/**
+ * Places requests for all instances. The store's leader does so; another control instance only while it has no leader,
+ * as in a failure domain that is cut off. Nothing here is durable: instances report again what they have running.
+ */
+class PlaceDesk(
+    private val timer: TimerService,
+    private val store: StoreKeeper,
+    private val placer: Placer,
+) {
+    private val decided = HashMap<RequestId, Placement>()
+    private val awaiting = HashMap<RequestId, PeerExchange<PlaceReply>>()
+
+    fun start() {
+        timer.every(TICK_MS) { decide(placer.tick(timer.nowMs())) }
+    }
+
+    fun serve(api: PeerApi) {
+        api.on(ClusterRoutes.place) { request, exchange -> exchange.answer(place(request)) }
+        api.on(ClusterRoutes.await) { message, exchange -> await(message.request, exchange) }
+        api.on(ClusterRoutes.ends) { message, exchange ->
+            exchange.answer(Unit)
+            val nowMs = timer.nowMs()
+            message.own.forEach { placer.adopt(it.request, it.upstream, nowMs) }
+            message.results.forEach { decide(placer.ended(it, nowMs)) }
+            message.withdrawn.forEach(::withdraw)
+        }
+    }
+
+    private fun place(request: PlaceRequest): PlaceReply {
+        val leader = store.leader
+        if (leader != null && !store.isLeader && store.isInTouch) return PlaceReply(coordinator = leader)
+        val placement = placer.place(request, timer.nowMs())
+        return if (placement != null) PlaceReply(placement) else PlaceReply(isWaiting = true)
+    }
+
+    private fun await(
+        request: RequestId,
+        exchange: PeerExchange<PlaceReply>,
+    ) {
+        decided.remove(request)?.let { return exchange.answer(PlaceReply(it)) }
+        awaiting[request] = exchange
+        exchange.onAborted { if (awaiting.remove(request, exchange)) withdraw(request) }
+    }
+
+    private fun withdraw(request: RequestId) {
+        awaiting -= request
+        decided -= request
+        decide(placer.withdraw(request, timer.nowMs()))
+    }
+
+    private fun decide(decisions: List<Decision>) {
+        for (decision in decisions) {
+            val id = decision.request.request
+            val exchange = awaiting.remove(id)
+            if (exchange != null) exchange.answer(PlaceReply(decision.placement)) else keep(id, decision.placement)
+        }
+    }
+
+    /** The instance has not asked for the decision yet; what nobody asks for is forgotten. */
+    private fun keep(
+        id: RequestId,
+        placement: Placement,
+    ) {
+        decided[id] = placement
+        timer.after(KEEP_MS) { if (decided.remove(id, placement)) placer.withdraw(id, timer.nowMs()) }
+    }
+
+    private companion object {
+        const val TICK_MS = 20L
+        const val KEEP_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
@@ -0,0 +1,110 @@
+package samphirechute.serving.control
+
+import samphirechute.core.InstanceId
+import samphirechute.core.time.Subscription
+import samphirechute.core.time.TimerService
+import samphirechute.net.peer.PeerApi
+import samphirechute.net.peer.PeerExchange
+import samphirechute.serving.cluster.ClusterRoutes
+import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.WatchReply
+import samphirechute.serving.cluster.WatchRequest
+import samphirechute.state.command.DrainTarget
+
+/** Answers the open questions of other instances as soon as there is news for them. */
+class WatchDesk(
+    private val timer: TimerService,
+    private val store: StoreKeeper,
+    private val registrar: Registrar,
+    private val life: Long,
+) {
+    private val waiting = LinkedHashMap<InstanceId, Question>()
+    private val entriesMs = HashMap<InstanceId, Long>()
+    private var isDue = false
+
+    fun serve(api: PeerApi) =
+        api.on(ClusterRoutes.watch) { request, exchange ->
+            if (request.isEntry) entriesMs[request.from] = timer.nowMs()
+            waiting.remove(request.from)?.timeout?.cancel()
+            if (isNews(request)) {
+                exchange.answer(reply(request))
+            } else {
+                hold(request, exchange)
+            }
+        }
+
+    /** Something has changed; changes of one turn of the loop are answered together. */
+    fun changed() {
+        if (isDue) return
+        isDue = true
+        timer.after(0) {
+            isDue = false
+            waiting.values.filter { isNews(it.request) }.forEach(::answer)
+        }
+    }
+
+    /** Entry instances that asked lately. */
+    fun entries(): Int {
+        entriesMs.values.removeIf { timer.nowMs() - it > ENTRY_KEEP_MS }
+        return entriesMs.size
+    }
+
+    private fun hold(
+        request: WatchRequest,
+        exchange: PeerExchange<WatchReply>,
+    ) {
+        lateinit var question: Question
+        question = Question(request, exchange, timer.after(HOLD_MS) { answer(question) })
+        waiting[request.from] = question
+        exchange.onAborted {
+            question.timeout.cancel()
+            waiting.remove(request.from, question)
+        }
+    }
+
+    private fun answer(question: Question) {
+        question.timeout.cancel()
+        waiting.remove(question.request.from, question)
+        question.exchange.answer(reply(question.request))
+    }
+
+    private fun isNews(request: WatchRequest) =
+        request.life != life || request.recordsVersion < registrar.table.version ||
+            request.revision < (store.state.adopted?.revision ?: 0) || request.drainVersion < store.state.drainVersion
+
+    private fun reply(request: WatchRequest): WatchReply {
+        val state = store.state
+        val known = if (request.life == life) request.recordsVersion else 0
+        return WatchReply(
+            life,
+            registrar.table.version,
+            registrar.table.changedAfter(known),
+            state.adopted?.takeIf { it.revision > request.revision },
+            drains().takeIf { it.version > request.drainVersion },
+            store.leader,
+            store.members,
+            store.isInTouch,
+            entries(),
+        )
+    }
+
+    fun drains() =
+        DrainedDomains(
+            store.state.drainVersion,
+            store.state.drains
+                .filterIsInstance<DrainTarget.Domain>()
+                .map { it.failureDomain }
+                .toSet(),
+        )
+
+    private class Question(
+        val request: WatchRequest,
+        val exchange: PeerExchange<WatchReply>,
+        val timeout: Subscription,
+    )
+
+    private companion object {
+        const val HOLD_MS = 1_000L
+        const val ENTRY_KEEP_MS = 10_000L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -0,0 +1,108 @@
+package samphirechute.serving.entry
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import samphirechute.core.log.KeyValueLog
+import samphirechute.net.EventLoop
+import samphirechute.net.Exchange
+import samphirechute.net.HttpClient
+import samphirechute.net.peer.PeerClient
+import samphirechute.routing.flow.RetryBudget
+import samphirechute.routing.placing.Placer
+import samphirechute.serving.cluster.ConfigReader
+import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.ServingSettings
+import samphirechute.serving.cluster.UpstreamRecord
+import samphirechute.serving.cluster.UpstreamTable
+import samphirechute.serving.cluster.UpstreamView
+import samphirechute.serving.cluster.WatchSink
+import samphirechute.serving.cluster.Watcher
+import samphirechute.serving.placement.PlaceClient
+import samphirechute.serving.relay.RelayContext
+import samphirechute.serving.relay.RelayProtocol
+import samphirechute.serving.relay.RequestDesk
+import samphirechute.serving.relay.RequestLog
+import samphirechute.state.store.AdoptedConfig
+
+/** An entry instance: takes the requests of callers and relays them. It keeps nothing on disk. */
+class EntryNode(
+    private val settings: ServingSettings,
+    loop: EventLoop,
+    reader: ConfigReader,
+    protocol: RelayProtocol,
+    registry: PrometheusRegistry,
+) {
+    private val timer = loop.timer
+    private val peerClient = PeerClient(HttpClient(loop, CONNECT_TIMEOUT_MS))
+    private val placer = Placer(spreadBy = settings.instance.hashCode())
+    private val view = UpstreamView(reader, timer, placer)
+    private val table = UpstreamTable()
+    private val watcher = Watcher(settings, timer, peerClient, isEntry = true, Sink())
+    private val places = PlaceClient(timer, peerClient, watcher, placer)
+    private val budget = RetryBudget { settings.retryFloor / watcher.entries }
+    private val desk =
+        RequestDesk(
+            RelayContext(
+                settings,
+                timer,
+                HttpClient(loop, CONNECT_TIMEOUT_MS),
+                places,
+                protocol,
+                budget,
+                RequestLog(registry),
+            ),
+        )
+    private var isLeaving = false
+    private val startedMs = timer.nowMs()
+
+    /** True when this instance may get new connections. */
+    val isReady: Boolean get() = !isLeaving && view.config != null && isInformed()
+
+    val runningRequests: Int get() = desk.running
+
+    fun start() {
+        watcher.start()
+        places.start()
+        timer.every(FORGET_EVERY_MS) { table.forgetGone(timer.nowMs()) }
+        log.event("entry_started", mapOf("instance" to settings.instance, "name" to settings.name))
+    }
+
+    fun handle(exchange: Exchange) = desk.handle(exchange)
+
+    /** No more new connections are wanted; requests that come all the same are served. */
+    fun leave() {
+        isLeaving = true
+        log.event("entry_leaving", mapOf("running" to runningRequests))
+    }
+
+    /** An instance that has just started may hear first from one that is behind; it waits a while for a better word. */
+    private fun isInformed() = watcher.isConfirmed || timer.nowMs() - startedMs > CONFIRM_WAIT_MS
+
+    private fun configured() {
+        view.config?.let { if (isInformed()) desk.configured(it) }
+    }
+
+    private inner class Sink : WatchSink {
+        override val revision get() = view.revision
+        override val drainVersion get() = view.drains.version
+
+        override fun configured(config: AdoptedConfig) {
+            view.configured(config)
+            timer.after(0) { configured() }
+            timer.after(CONFIRM_WAIT_MS) { configured() }
+        }
+
+        override fun drained(drains: DrainedDomains) = view.drained(drains)
+
+        override fun upstreams(records: List<UpstreamRecord>) {
+            val isChanged = records.count { table.merge(it, timer.nowMs()) } > 0
+            if (isChanged) view.upstreams(table.all())
+        }
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MS = 400
+        const val FORGET_EVERY_MS = 10_000L
+        const val CONFIRM_WAIT_MS = 3_000L
+        val log = KeyValueLog("entry")
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
@@ -0,0 +1,219 @@
+package samphirechute.serving.placement
+
+import com.github.michaelbull.result.fold
+import samphirechute.core.InstanceId
+import samphirechute.core.RequestId
+import samphirechute.core.log.KeyValueLog
+import samphirechute.core.time.TimerService
+import samphirechute.net.peer.PeerClient
+import samphirechute.routing.placing.Decision
+import samphirechute.routing.placing.PlaceRequest
+import samphirechute.routing.placing.PlaceResult
+import samphirechute.routing.placing.Placement
+import samphirechute.routing.placing.Placer
+import samphirechute.routing.placing.RefusedReason
+import samphirechute.serving.cluster.AwaitRequest
+import samphirechute.serving.cluster.ClusterRoutes
+import samphirechute.serving.cluster.OwnPlacement
+import samphirechute.serving.cluster.PlaceEnds
+import samphirechute.serving.cluster.PlaceReply
+import samphirechute.serving.cluster.Watcher
+import samphirechute.serving.cluster.address
+
+/**
+ * Asks the coordinator where a request goes. While none answers, the instance places its requests itself, by what it has
+ * under way; so no second is without service, and the coordinator is told of them afterwards.
+ */
+class PlaceClient(
+    private val timer: TimerService,
+    private val client: PeerClient,
+    private val watcher: Watcher,
+    private val local: Placer,
+) {
+    private val localWaiting = HashMap<RequestId, (Placement, String) -> Unit>()
+    private val running = LinkedHashMap<RequestId, OwnPlacement>()
+    private val results = ArrayList<PlaceResult>()
+    private val withdrawn = ArrayList<RequestId>()
+    private var own = ArrayList<OwnPlacement>()
+    private var isFlushDue = false
+    private var avoidUntilMs = Long.MIN_VALUE / 2
+    private var lastCoordinator: InstanceId? = null
+
+    fun start() {
+        timer.every(TICK_MS) { answerLocal(local.tick(timer.nowMs())) }
+    }
+
+    /** [onPlaced] gets the decision and who made it; it is not called after [withdraw]. */
+    fun place(
+        request: PlaceRequest,
+        onPlaced: (Placement, String) -> Unit,
+    ) {
+        val coordinator = coordinator()
+        if (coordinator ==
+            null
+        ) {
+            placeLocally(request, onPlaced)
+        } else {
+            ask(coordinator, request, mayRedirect = true, onPlaced)
+        }
+    }
+
+    fun withdraw(request: RequestId) {
+        localWaiting -= request
+        running -= request
+        answerLocal(local.withdraw(request, timer.nowMs()))
+        withdrawn += request
+        flushSoon()
+    }
+
+    fun ended(result: PlaceResult) {
+        running -= result.request
+        answerLocal(local.ended(result, timer.nowMs()))
+        results += result
+        flushSoon()
+    }
+
+    private fun coordinator(): InstanceId? {
+        if (timer.nowMs() < avoidUntilMs) return null
+        val leader = watcher.leader?.takeIf { watcher.isReachable(it) }
+        return leader ?: watcher.reachable().firstOrNull()
+    }
+
+    private fun ask(
+        coordinator: InstanceId,
+        request: PlaceRequest,
+        mayRedirect: Boolean,
+        onPlaced: (Placement, String) -> Unit,
+    ) {
+        val address = coordinator.address ?: return placeLocally(request, onPlaced)
+        noteCoordinator(coordinator)
+        client.call(address, ClusterRoutes.place, request, ASK_TIMEOUT_MS) { result ->
+            result.fold({ answered(coordinator, it, request, mayRedirect, onPlaced) }) {
+                log.event("coordinator_silent", mapOf("instance" to coordinator, "error" to it.detail))
+                avoidUntilMs = timer.nowMs() + AVOID_MS
+                withdrawn += request.request
+                placeLocally(request, onPlaced)
+            }
+        }
+    }
+
+    private fun answered(
+        coordinator: InstanceId,
+        reply: PlaceReply,
+        request: PlaceRequest,
+        mayRedirect: Boolean,
+        onPlaced: (Placement, String) -> Unit,
+    ) {
+        val placement = reply.placement
+        val other = reply.coordinator
+        when {
+            placement != null -> placed(request, placement, coordinator.value, onPlaced)
+            reply.isWaiting -> await(coordinator, request, onPlaced)
+            other != null && mayRedirect -> ask(other, request, mayRedirect = false, onPlaced)
+            else -> placeLocally(request, onPlaced)
+        }
+    }
+
+    private fun await(
+        coordinator: InstanceId,
+        request: PlaceRequest,
+        onPlaced: (Placement, String) -> Unit,
+    ) {
+        val address = coordinator.address ?: return placeLocally(request, onPlaced)
+        client.call(address, ClusterRoutes.await, AwaitRequest(request.request), request.deadlineMs) { result ->
+            result.fold({ reply ->
+                val placement = reply.placement ?: Placement.Refused(RefusedReason.EXPIRED, RETRY_MS)
+                placed(request, placement, coordinator.value, onPlaced)
+            }) { placeLocally(request, onPlaced) }
+        }
+    }
+
+    private fun placed(
+        request: PlaceRequest,
+        placement: Placement,
+        by: String,
+        onPlaced: (Placement, String) -> Unit,
+    ) {
+        if (placement is Placement.Granted) {
+            running[request.request] = OwnPlacement(request, placement.upstream)
+            local.adopt(request, placement.upstream, timer.nowMs())
+        }
+        onPlaced(placement, by)
+    }
+
+    private fun placeLocally(
+        request: PlaceRequest,
+        onPlaced: (Placement, String) -> Unit,
+    ) {
+        val placement = local.place(request, timer.nowMs())
+        if (placement == null) {
+            localWaiting[request.request] = onPlaced
+            return
+        }
+        localPlaced(request, placement, onPlaced)
+    }
+
+    private fun localPlaced(
+        request: PlaceRequest,
+        placement: Placement,
+        onPlaced: (Placement, String) -> Unit,
+    ) {
+        if (placement is Placement.Granted) {
+            val placed = OwnPlacement(request, placement.upstream)
+            running[request.request] = placed
+            own += placed
+            flushSoon()
+        }
+        onPlaced(placement, "self")
+    }
+
+    private fun answerLocal(decisions: List<Decision>) =
+        decisions.forEach { decision ->
+            localWaiting.remove(decision.request.request)?.let { localPlaced(decision.request, decision.placement, it) }
+        }
+
+    /** A new coordinator knows nothing of what runs. */
+    private fun noteCoordinator(coordinator: InstanceId) {
+        if (coordinator == lastCoordinator) return
+        log.event(
+            "coordinator_changed",
+            mapOf("from" to lastCoordinator, "to" to coordinator, "running" to running.size),
+        )
+        lastCoordinator = coordinator
+        own = ArrayList(running.values)
+        flushSoon()
+    }
+
+    private fun flushSoon() {
+        if (isFlushDue) return
+        isFlushDue = true
+        timer.after(FLUSH_MS) {
+            isFlushDue = false
+            flush()
+        }
+    }
+
+    private fun flush() {
+        val address = (lastCoordinator ?: coordinator())?.address ?: return drop()
+        val message = PlaceEnds(results.toList(), own.toList(), withdrawn.toList())
+        drop()
+        client.call(address, ClusterRoutes.ends, message, ASK_TIMEOUT_MS) { }
+    }
+
+    private fun drop() {
+        results.clear()
+        own.clear()
+        withdrawn.clear()
+    }
+
+    private companion object {
+        const val TICK_MS = 20L
+        const val FLUSH_MS = 5L
+        const val ASK_TIMEOUT_MS = 250L
+
+        /** After a question without an answer, the instance decides by itself for so long. */
+        const val AVOID_MS = 400L
+        const val RETRY_MS = 300L
+        val log = KeyValueLog("place")
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
@@ -0,0 +1,38 @@
+package samphirechute.serving.relay
+
+import samphirechute.net.ResponseHead
+import samphirechute.routing.placing.PlaceOutcome
+
+/** How one sending of a request ended. */
+internal sealed class AttemptResult(
+    val outcome: PlaceOutcome,
+    val label: String,
+) {
+    /** A whole answer of the upstream, be it a success or a failure. */
+    class Answered(
+        val head: ResponseHead,
+        val body: ByteArray,
+    ) : AttemptResult(PlaceOutcome.DONE, "answered")
+
+    /** All events have come and were passed on. */
+    data object StreamEnded : AttemptResult(PlaceOutcome.DONE, "stream_ended")
+
+    /** The upstream has not run the request and never will. */
+    class NotRun(
+        reason: String,
+        isGone: Boolean,
+        isConnected: Boolean,
+    ) : AttemptResult(
+            when {
+                isGone -> PlaceOutcome.GONE
+                isConnected -> PlaceOutcome.REFUSED
+                else -> PlaceOutcome.FAILED
+            },
+            reason,
+        )
+
+    /** The upstream may have run the request, and its answer is lost or not to be trusted. */
+    class Lost(
+        reason: String,
+    ) : AttemptResult(PlaceOutcome.FAILED, reason)
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/EventSplitter.kt
@@ -0,0 +1,53 @@
+package samphirechute.serving.relay
+
+import io.netty.buffer.ByteBuf
+import java.io.ByteArrayOutputStream
+
+/** Cuts the bytes of an event stream into whole events; a part of an event at the end is never given out. */
+internal class EventSplitter {
+    private var pending = ByteArrayOutputStream()
+    private var newlines = 0
+
+    fun add(
+        piece: ByteBuf,
+        onEvent: (StreamEvent) -> Unit,
+    ) {
+        while (piece.isReadable) {
+            val byte = piece.readByte().toInt()
+            pending.write(byte)
+            if (byte == CARRIAGE_RETURN) continue
+            newlines = if (byte == NEWLINE) newlines + 1 else 0
+            if (newlines < BLANK_LINE) continue
+            newlines = 0
+            val bytes = pending.toByteArray()
+            pending.reset()
+            onEvent(StreamEvent(bytes, idOf(bytes)))
+        }
+    }
+
+    /** True when nothing of a next event has come yet. */
+    val isAtBoundary: Boolean get() = pending.size() == 0
+
+    val pendingBytes: Int get() = pending.size()
+
+    private fun idOf(bytes: ByteArray): Long? =
+        bytes
+            .decodeToString()
+            .lineSequence()
+            .firstOrNull { it.startsWith(ID_FIELD) }
+            ?.removePrefix(ID_FIELD)
+            ?.trim()
+            ?.toLongOrNull()
+
+    private companion object {
+        const val NEWLINE = 10
+        const val CARRIAGE_RETURN = 13
+        const val BLANK_LINE = 2
+        const val ID_FIELD = "id:"
+    }
+}
+
+internal class StreamEvent(
+    val bytes: ByteArray,
+    val id: Long?,
+)
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/HopHeaders.kt
@@ -0,0 +1,23 @@
+package samphirechute.serving.relay
+
+import samphirechute.net.HeaderField
+
+/** The headers that concern one connection only, and are never passed on. */
+object HopHeaders {
+    private val NAMES =
+        setOf(
+            "connection",
+            "content-length",
+            "expect",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+        )
+
+    fun passes(field: HeaderField) = field.name.lowercase() !in NAMES
+}
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayContext.kt
@@ -0,0 +1,18 @@
+package samphirechute.serving.relay
+
+import samphirechute.core.time.TimerService
+import samphirechute.net.HttpClient
+import samphirechute.routing.flow.RetryBudget
+import samphirechute.serving.cluster.ServingSettings
+import samphirechute.serving.placement.PlaceClient
+
+/** What all requests of one entry instance share. */
+internal class RelayContext(
+    val settings: ServingSettings,
+    val timer: TimerService,
+    val client: HttpClient,
+    val places: PlaceClient,
+    val protocol: RelayProtocol,
+    val budget: RetryBudget,
+    val log: RequestLog,
+)
--- a/state/src/main/kotlin/samphirechute/state/command/Command.kt
+++ b/state/src/main/kotlin/samphirechute/state/command/Command.kt
@@ -30,6 +30,14 @@
         val services: List<ServiceSpec>,
     ) : Command()
 
+    /** Puts a whole configuration in force whose [revision] was given outside; the highest revision wins. */
+    @Serializable
+    @SerialName("adopt_config")
+    data class AdoptConfig(
+        val revision: Long,
+        val content: String,
+    ) : Command()
+
     @Serializable
     @SerialName("claim_request")
     data class ClaimRequest(
--- a/state/src/main/kotlin/samphirechute/state/command/CommandResult.kt
+++ b/state/src/main/kotlin/samphirechute/state/command/CommandResult.kt
@@ -17,6 +17,14 @@
         val revision: Long,
     ) : CommandResult()
 
+    /** The revision in force after a configuration from outside; [isChanged] when it is the one that was sent. */
+    @Serializable
+    @SerialName("adopted")
+    data class Adopted(
+        val revision: Long,
+        val isChanged: Boolean,
+    ) : CommandResult()
+
     /** Another set was published on the same base revision first. */
     @Serializable
     @SerialName("conflict")
--- a/state/src/main/kotlin/samphirechute/state/raft/Founding.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Founding.kt
@@ -13,6 +13,7 @@
  */
 internal class Founding(
     private val member: Member,
+    private val mayFound: Boolean,
 ) {
     private val empty = mutableMapOf<InstanceId, StoreMember>()
     private val disks = mutableMapOf<InstanceId, DiskIdentity>()
@@ -23,13 +24,18 @@
 
     /** A member that nobody counts and no leader serves keeps asking, so that the leader learns of its disk. */
     fun tick() {
-        if (member.isVoter || member.nowMs - member.lastHeardMs < member.timings.electionMinMs) return
-        if (member.isEmpty && empty.size == member.peers.size) found()
+        if (member.leader == member.identity) return
+        val silentMs = member.nowMs - member.lastHeardMs
+        // A member that was removed while it was cut off still counts itself; nobody else does, and it hears nothing.
+        val limitMs = if (member.isVoter) member.timings.removedMs else member.timings.electionMinMs
+        if (silentMs < limitMs) return
+        if (mayFound && member.isEmpty && empty.size == member.peers.size) found()
         val last = lastHelloMs
-        if (member.isVoter || (last != null && member.nowMs - last < member.timings.helloMs)) return
+        if (last != null && member.nowMs - last < member.timings.helloMs) return
         lastHelloMs = member.nowMs
         empty.clear()
-        member.peers.forEach { member.send(it, hello(null)) }
+        val known = member.peers + member.voters.map { it.instance } - member.self.instance
+        known.forEach { member.send(it, hello(null)) }
     }
 
     fun onHello(message: RaftMessage.Hello) {
--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -15,6 +15,11 @@
     private val progress = LinkedHashMap<DiskIdentity, Progress>()
     private var lastHeartbeatMs = member.nowMs
 
+    private val asking = LinkedHashMap<InstanceId, StoreMember>()
+
+    /** The members that asked to join and are not in the membership. */
+    val candidates: List<StoreMember> get() = asking.values.filter { !member.isVoter(it.identity) }
+
     private val heardDisks = mutableMapOf<InstanceId, String>()
 
     /** The disks that answer for an instance but are not in the membership, as found after a disk was wiped. */
@@ -124,6 +129,18 @@
         return index.takeIf { it > member.commitIndex && member.log.termAt(it) == term }
     }
 
+    fun noteCandidate(candidate: StoreMember) {
+        noteUnknownDisk(candidate.identity)
+        if (member.isVoter(candidate.identity)) asking -= candidate.instance else asking[candidate.instance] = candidate
+    }
+
+    /** Voters that have answered nothing for [forMs]. */
+    fun silentVoters(forMs: Long): List<StoreMember> =
+        member.voters.filter { voter ->
+            val heardMs = maxOf(find(voter.identity)?.ackedSentMs ?: sinceMs, sinceMs)
+            voter.identity != member.identity && member.nowMs - heardMs > forMs
+        }
+
     fun noteUnknownDisk(identity: DiskIdentity) {
         val isKnown = identity.instance in member.peers || member.voters.any { it.instance == identity.instance }
         if (isKnown && !member.isVoter(identity)) heardDisks[identity.instance] = identity.diskId
@@ -135,7 +152,8 @@
     fun leaseUntilMs(): Long? =
         quorumContactMs()?.let { it + member.timings.electionMinMs - member.timings.leaseMarginMs }
 
-    private fun quorumContactMs(): Long? {
+    /** The latest time at which a request was sent that a majority has answered. */
+    fun quorumContactMs(): Long? {
         val contacts =
             member.voters.map {
                 if (it.identity ==
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftInput.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftInput.kt
@@ -10,6 +10,11 @@
         val command: Command,
     ) : RaftInput()
 
+    /** A read of the newest state; answered once a majority has confirmed that this member still leads. */
+    data class ConfirmRead(
+        val token: Long,
+    ) : RaftInput()
+
     data class Received(
         val message: RaftMessage,
     ) : RaftInput()
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftLog.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftLog.kt
@@ -105,6 +105,7 @@
 internal fun LogEntry.approximateBytes(): Int =
     when (val command = timed.command) {
         is Command.FinishClaim -> ENTRY_BYTES + (command.result.body?.length ?: 0)
+        is Command.AdoptConfig -> ENTRY_BYTES + command.content.length
         is Command.PublishConfig -> ENTRY_BYTES + command.services.size * ENTRY_BYTES
         else -> ENTRY_BYTES
     }
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -23,14 +23,17 @@
     random: Random,
     startMs: Long,
     timings: RaftTimings = RaftTimings(),
+    /** False for a member that joins a log founded earlier, such as one whose disk was wiped. */
+    mayFound: Boolean = true,
 ) {
     private val member = Member(self, peers - self.instance, restored, timings, random, startMs)
     private val follower = Follower(member)
     private val election = Election(member, ::lead, ::follow) { leadership != null }
-    private val founding = Founding(member)
+    private val founding = Founding(member, mayFound)
     private var leadership: Leadership? = null
     private var changes: MemberChanges? = null
     private val proposals = Proposals(member)
+    private val reads = PendingReads(member)
 
     /** The state after the last applied entry. It may lag the leader's; see [readableState]. */
     val state: StoreState get() = member.state
@@ -49,6 +52,12 @@
     /** On the leader: disks that answer for a member without being in the membership, for the operator to add. */
     val unknownDisks: Map<InstanceId, String> get() = leadership?.unknownDisks.orEmpty()
 
+    /** On the leader: members that have asked to join, for [Command.AddMember]. */
+    val candidates: List<StoreMember> get() = leadership?.candidates.orEmpty()
+
+    /** On the leader: voters that have answered nothing for [forMs]. */
+    fun silentMembers(forMs: Long): List<StoreMember> = leadership?.silentVoters(forMs).orEmpty()
+
     /** The state if this member may answer reads from it at [nowMs], which holds while its lease lasts; else null. */
     fun readableState(nowMs: Long): StoreState? = state.takeIf { leadership?.isReady == true && nowMs < leaseUntilMs() }
 
@@ -65,6 +74,7 @@
         member.nowMs = maxOf(member.nowMs, nowMs)
         when (input) {
             is RaftInput.Propose -> propose(input)
+            is RaftInput.ConfirmRead -> confirmRead(input.token)
             is RaftInput.Received -> receive(input.message)
             is RaftInput.DiskDone -> diskDone(input.sequence)
             is RaftInput.DiskFailed -> fail(input.reason)
@@ -73,6 +83,12 @@
         return member.takeOutputs()
     }
 
+    private fun confirmRead(token: Long) {
+        val current = leadership?.takeIf { it.isReady }
+        if (current == null) return member.emit(RaftOutput.ReadChecked(token, isConfirmed = false))
+        reads.add(token)
+    }
+
     private fun propose(input: RaftInput.Propose) {
         val current = leadership ?: return member.emit(proposals.notLeader(input.token, member.memberOf(member.leader)))
         when {
@@ -94,7 +110,7 @@
 
     private fun receive(message: RaftMessage) {
         if (message is RaftMessage.Hello) {
-            leadership?.noteUnknownDisk(message.from)
+            hello(message)
             return founding.onHello(message)
         }
         if (!founding.isTrusted(message.from)) return
@@ -112,6 +128,17 @@
         if (leadership == null) member.snapshotWhenDue()
     }
 
+    /** A member that wants to join may know only others than the leader, so its question is passed on. */
+    private fun hello(message: RaftMessage.Hello) {
+        if (message.inReplyTo != null) return
+        val current = leadership
+        val leader = member.leader
+        when {
+            current != null -> current.noteCandidate(message.member)
+            leader != null && leader.instance != message.from.instance -> member.send(leader.instance, message)
+        }
+    }
+
     /** Notes word from the leader of the current term; a request of an earlier term is answered with this one. */
     private fun hear(message: RaftMessage): Boolean {
         if (message.term < member.term) {
@@ -161,6 +188,7 @@
         }
         val isCommitted = member.commitIndex > before
         changes?.advance()
+        if (current.isReady) reads.confirm(current.quorumContactMs())
         member.snapshotWhenDue()
         // Without entries to carry it, the commit index goes out alone, so that the followers' state keeps up.
         if (!current.flush() && isCommitted) current.heartbeat()
@@ -176,6 +204,7 @@
         val isStalled = member.disk.isStalled(member.nowMs, member.timings.diskStallMs)
         if (isStalled || !current.hasQuorumContact()) return stepDown()
         current.tick()
+        if (reads.isWaiting) current.heartbeat()
         advance(current)
     }
 
@@ -204,6 +233,7 @@
         member.leader = null
         member.dropUnwritten()
         proposals.abandon()
+        reads.abandon()
         if (current.isReady) member.emit(RaftOutput.LeadershipLost(current.term))
         election.postpone()
     }
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
@@ -33,6 +33,12 @@
         val outcome: ProposalOutcome,
     ) : RaftOutput()
 
+    /** The answer to [RaftInput.ConfirmRead]; when confirmed, this member's state is the newest. */
+    data class ReadChecked(
+        val token: Long,
+        val isConfirmed: Boolean,
+    ) : RaftOutput()
+
     /** This member leads, and its state holds everything committed before. [term] is its fencing number. */
     data class LeadershipGained(
         val term: Long,
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
@@ -16,6 +16,8 @@
     /** A leader whose own write takes longer steps down; its followers cannot see that its disk hangs. */
     val diskStallMs: Long = 1_000,
     val helloMs: Long = 200,
+    /** A voter that hears nothing for so long asks whether it still is one. */
+    val removedMs: Long = 2_000,
     /** A member being added that takes longer to catch up is refused. */
     val catchUpMs: Long = 60_000,
     /** A member being added counts once it lacks at most this many entries. */
--- a/state/src/main/kotlin/samphirechute/state/store/ConfigRules.kt
+++ b/state/src/main/kotlin/samphirechute/state/store/ConfigRules.kt
@@ -32,6 +32,17 @@
     }
 }
 
+/** An equal or lower revision changes nothing, whatever it holds: it is a resend, or was overtaken. */
+internal fun StoreState.adopt(command: Command.AdoptConfig): Applied {
+    val current = adopted
+    if (current != null && command.revision <= current.revision) {
+        return with(CommandResult.Adopted(current.revision, isChanged = false))
+    }
+    return with(CommandResult.Adopted(command.revision, isChanged = true)) {
+        copy(adopted = AdoptedConfig(command.revision, command.content))
+    }
+}
+
 /** The version grows only when the set of drained targets changes. */
 internal fun StoreState.setDrain(command: Command.SetDrain): Applied {
     val next = if (command.isDrained) drains.add(command.target) else drains.remove(command.target)
--- a/state/src/main/kotlin/samphirechute/state/store/SnapshotPart.kt
+++ b/state/src/main/kotlin/samphirechute/state/store/SnapshotPart.kt
@@ -32,6 +32,12 @@
         val keptAnswerBytes: Long,
     ) : SnapshotPart()
 
+    @Serializable
+    @SerialName("adopted")
+    data class Adopted(
+        val config: AdoptedConfig,
+    ) : SnapshotPart()
+
     @Serializable
     @SerialName("services")
     data class Services(
@@ -73,6 +79,7 @@
 fun StoreState.snapshotParts(): Sequence<SnapshotPart> =
     sequence {
         yield(head())
+        adopted?.let { yield(SnapshotPart.Adopted(it)) }
         for (part in services.chunked(PART_RECORDS)) yield(SnapshotPart.Services(part))
         for (part in operations.values.chunked(PART_RECORDS)) yield(SnapshotPart.Operations(part))
         yieldAll(claimParts())
@@ -100,6 +107,10 @@
             )
         }
 
+        is SnapshotPart.Adopted -> {
+            copy(adopted = part.config)
+        }
+
         is SnapshotPart.Services -> {
             copy(services = services.addAll(part.services))
         }
--- a/state/src/main/kotlin/samphirechute/state/store/StoreLimits.kt
+++ b/state/src/main/kotlin/samphirechute/state/store/StoreLimits.kt
@@ -17,7 +17,7 @@
     val orderKeepMs: Long = DAY_MS,
     val maxOrders: Int = 10_000,
     val maxIncarnations: Int = 4_096,
-    val maxMembers: Int = 7,
+    val maxMembers: Int = 9,
     /** Bounds the work of one command; expiry catches up over the following commands. */
     val maxExpiredPerCommand: Int = 64,
 ) {
--- a/state/src/main/kotlin/samphirechute/state/store/StoreRecords.kt
+++ b/state/src/main/kotlin/samphirechute/state/store/StoreRecords.kt
@@ -12,6 +12,13 @@
 import samphirechute.state.command.CommandResult
 import samphirechute.state.command.UpstreamOrder
 
+/** A configuration whose revision was given outside. */
+@Serializable
+data class AdoptedConfig(
+    val revision: Long,
+    val content: String,
+)
+
 /** A claim as kept in the store. It is finished once [result] is set. */
 @Serializable
 data class ClaimRecord(
--- a/state/src/main/kotlin/samphirechute/state/store/StoreState.kt
+++ b/state/src/main/kotlin/samphirechute/state/store/StoreState.kt
@@ -28,6 +28,8 @@
     val atMs: Long = 0,
     val revision: Long = 0,
     val services: PersistentList<ServiceSpec> = persistentListOf(),
+    /** The newest configuration whose revision was given outside, or null. */
+    val adopted: AdoptedConfig? = null,
     val publishes: PersistentList<PublishRecord> = persistentListOf(),
     val operations: PersistentMap<OperationId, OperationRecord> = persistentMapOf(),
     val claims: PersistentMap<ClaimKey, ClaimRecord> = persistentMapOf(),
@@ -61,6 +63,7 @@
         when (command) {
             is Command.Noop -> with(CommandResult.Done)
             is Command.PublishConfig -> once(command.operationId) { publish(command) }
+            is Command.AdoptConfig -> adopt(command)
             is Command.ClaimRequest -> claim(command)
             is Command.FinishClaim -> finishClaim(command)
             is Command.ReleaseClaim -> releaseClaim(command)
