--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -7,6 +7,8 @@
     val engines: List<UpstreamLoad>,
     val partMs: Double,
     val firstEventMs: Double,
+    /** Memory to reserve for the prompt on engines other than the first, which does not hold all of it. */
+    val reservedTokens: Map<UpstreamLoad, Long> = emptyMap(),
 )
 
 /**
@@ -29,7 +31,7 @@
     fun choose(): EngineSplit? {
         val heads = candidates.filter(::canAnswer)
         if (heads.isEmpty()) return null
-        if (readMs <= SHORT_READ_MS) return chooseShort(heads)
+        if (readMs <= SHORT_READ_MS) return chooseShort(heads.filter(::holdsAll).ifEmpty { return null })
         return gentleSplit(heads) ?: strictSplit(heads)
     }
 
@@ -70,7 +72,7 @@
             candidates.filter(::canHelp).sortedWith(compareBy({ it.strictWriters }, { it.readWaitMs(nowMs) }))
         var best: EngineSplit? = null
         for (parts in 1..MAX_PARTS) {
-            val split = split(byHarm, heads, parts) ?: break
+            val split = split(byHarm, heads, parts) ?: continue
             if (split.firstEventMs <= TARGET_SHARE * request.targetMs) return split
             if (best == null || split.firstEventMs < best.firstEventMs * WORTHWHILE) best = split
         }
@@ -85,18 +87,43 @@
     ): EngineSplit? {
         if (ordered.size < parts) return null
         val chosen = ordered.take(parts)
+        val able = heads.filter { it in ordered }
         val head =
-            chosen.filter { it in heads }.minByOrNull { it.strictWriters * WRITER_RANK + it.running }
-                ?: heads.filter { it in ordered }.minByOrNull { it.readWaitMs(nowMs) }
+            able.filter { it in chosen && holdsAll(it) }.minByOrNull { it.strictWriters * WRITER_RANK + it.running }
+                ?: able.filter(::holdsAll).minByOrNull { it.readWaitMs(nowMs) }
+                ?: able.maxByOrNull(::freeTokens)
                 ?: return null
         val helpers = chosen.filter { it !== head }.take(parts - 1)
+        val reserved = reserve(head, helpers) ?: return null
         val all = listOf(head) + helpers
         val partMs = readMs / parts
-        return EngineSplit(all, partMs, all.maxOf { firstEventMs(it, partMs) })
+        return EngineSplit(all, partMs, all.maxOf { firstEventMs(it, partMs) }, reserved)
     }
 
-    private fun canAnswer(load: UpstreamLoad) =
-        load.running < load.upstream.slots && load.memoryTokens + neededTokens <= profile.memoryTokens
+    /** What the helpers have to hold because [head] has no room for it; null when they have not enough room either. */
+    private fun reserve(
+        head: UpstreamLoad,
+        helpers: List<UpstreamLoad>,
+    ): Map<UpstreamLoad, Long>? {
+        var missing = neededTokens - freeTokens(head)
+        if (missing <= 0) return emptyMap()
+        val reserved = LinkedHashMap<UpstreamLoad, Long>()
+        for (helper in helpers.sortedByDescending(::freeTokens)) {
+            if (missing <= 0) break
+            val tokens = minOf(missing, (freeTokens(helper) * RESERVED_SHARE).toLong())
+            if (tokens <= 0) break
+            reserved[helper] = tokens
+            missing -= tokens
+        }
+        return reserved.takeIf { missing <= 0 }
+    }
+
+    private fun freeTokens(load: UpstreamLoad) =
+        ((profile.memoryTokens - load.memoryTokens) * MEMORY_SHARE).toLong().coerceAtLeast(0)
+
+    private fun holdsAll(load: UpstreamLoad) = load.memoryTokens + neededTokens <= profile.memoryTokens
+
+    private fun canAnswer(load: UpstreamLoad) = load.running < load.upstream.slots
 
     private fun canHelp(load: UpstreamLoad) = load.helping < load.upstream.slots
 
@@ -138,6 +165,12 @@
 
         /** One more engine must bring the first event at least this much nearer. */
         const val WORTHWHILE = 0.9
+
+        /** Memory is given out in blocks, and reports of it lag, so a little is left free. */
+        const val MEMORY_SHARE = 0.97
+
+        /** Requests that write at a helper go on growing. */
+        const val RESERVED_SHARE = 0.9
         const val WRITER_RANK = 100
         const val SPREAD_RANK = 997
     }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
@@ -45,7 +45,7 @@
         val upstream: UpstreamId,
         val address: HostPort,
         /** Engines that read parts of the prompt besides [upstream]. */
-        val helpers: List<HostPort> = emptyList(),
+        val helpers: List<PlacedHelper> = emptyList(),
         /** The predicted time to the first byte. */
         val firstByteMs: Long = 0,
     ) : Placement()
@@ -59,6 +59,15 @@
     ) : Placement()
 }
 
+/** An engine that reads a part of a prompt, and how much of the prompt it has to hold. */
+@Serializable
+data class PlacedHelper(
+    val upstream: UpstreamId,
+    val address: HostPort,
+    /** 0 when the first engine holds the whole prompt. */
+    val reservedTokens: Long = 0,
+)
+
 @Serializable
 enum class RefusedReason {
     /** No upstream of the service is open. */
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -63,7 +63,8 @@
         if (request.request in placed) return
         val load = loads[upstream] ?: return
         val profile = pools[request.service]?.profile?.engine
-        record(request, listOf(load), profile?.readMs(request.promptTokens) ?: 0.0, 0.0, nowMs)
+        val readMs = profile?.readMs(request.promptTokens) ?: 0.0
+        record(request, EngineSplit(listOf(load), readMs, 0.0), nowMs)
     }
 
     fun ended(
@@ -139,8 +140,8 @@
         nowMs: Long,
     ): Placement.Granted? {
         val split = EngineChoice(profile, candidates, request, nowMs, spreadBy).choose() ?: return null
-        record(request, split.engines, split.partMs, split.firstEventMs, nowMs)
-        return granted(split.engines, split.firstEventMs)
+        record(request, split, nowMs)
+        return granted(split)
     }
 
     /** The least loaded upstream, of the own failure domain when there are several. */
@@ -154,8 +155,9 @@
             free.minWithOrNull(
                 compareBy({ it.running }, { it.upstream.failureDomain != request.failureDomain }, { it.typicalMs }),
             ) ?: return null
-        record(request, listOf(chosen), 0.0, chosen.typicalMs, nowMs)
-        return granted(listOf(chosen), chosen.typicalMs)
+        val single = EngineSplit(listOf(chosen), 0.0, chosen.typicalMs)
+        record(request, single, nowMs)
+        return granted(single)
     }
 
     /** Those that are silent, paused or excluded are used only when no other is open. */
@@ -187,19 +189,22 @@
 
     private fun record(
         request: PlaceRequest,
-        engines: List<UpstreamLoad>,
-        partMs: Double,
-        predictedMs: Double,
+        split: EngineSplit,
         nowMs: Long,
     ) {
         val gapMs = request.targetGapMs ?: Long.MAX_VALUE
-        engines.forEachIndexed { index, load ->
+        val headTokens = request.promptTokens + request.answerTokens - split.reservedTokens.values.sum()
+        split.engines.forEachIndexed { index, load ->
             val isHead = index == 0
-            val memory = if (isHead) request.promptTokens + request.answerTokens else 0L
-            load.add(request.request, UpstreamLoad.Job(isHead, partMs, memory, gapMs, nowMs, predictedMs), nowMs)
+            val memory = if (isHead) headTokens else split.reservedTokens[load] ?: 0L
+            val job = UpstreamLoad.Job(isHead, split.partMs, memory, gapMs, nowMs, split.firstEventMs)
+            load.add(request.request, job, nowMs)
         }
-        val head = engines.first().upstream.id
-        placed[request.request] = Placed(request, head, engines, nowMs + request.deadlineMs + END_GRACE_MS)
+        val head =
+            split.engines
+                .first()
+                .upstream.id
+        placed[request.request] = Placed(request, head, split.engines, nowMs + request.deadlineMs + END_GRACE_MS)
     }
 
     private fun free(
@@ -235,22 +240,21 @@
         }
     }
 
-    private fun granted(
-        engines: List<UpstreamLoad>,
-        firstByteMs: Double,
-    ) = Placement.Granted(
-        engines.first().upstream.id,
-        engines.first().upstream.address,
-        engines.drop(1).map { it.upstream.address },
-        firstByteMs.toLong(),
-    )
+    private fun granted(split: EngineSplit): Placement.Granted {
+        val head = split.engines.first().upstream
+        val helpers =
+            split.engines.drop(1).map {
+                PlacedHelper(it.upstream.id, it.upstream.address, split.reservedTokens[it] ?: 0L)
+            }
+        return Placement.Granted(head.id, head.address, helpers, split.firstEventMs.toLong())
+    }
 
     private fun isTooLarge(
         pool: PoolQueue,
         request: PlaceRequest,
     ): Boolean {
         val memoryTokens = pool.profile.engine?.memoryTokens ?: return false
-        return request.promptTokens + request.answerTokens > memoryTokens
+        return request.promptTokens + request.answerTokens > memoryTokens * MAX_HOLDERS
     }
 
     /** Callers leave a stream that has not begun after two seconds or four times their target. */
@@ -274,6 +278,7 @@
     private companion object {
         const val NO_UPSTREAM_RETRY_MS = 1_000L
         const val TOO_LARGE_RETRY_MS = 3_000L
+        const val MAX_HOLDERS = 8
         const val RETRY_MS = 300L
         const val LONGEST_RETRY_MS = 3_000L
         const val TRUST_AFTER_ANSWER_MS = 2_000L
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacerSpec.kt
@@ -0,0 +1,250 @@
+package samphirechute.routing.placing
+
+import org.junit.jupiter.api.Nested
+import samphirechute.core.UpstreamId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class PlacerSpec {
+    @Nested
+    inner class ShortPrompts {
+        /** Guards against spreading: with a writer on each engine no long prompt could be read without harm. */
+        @Test
+        fun `are packed, so that other engines stay free of writers`() {
+            val fixture = PlacingFixture(engines = 6)
+            val used =
+                (0 until 8)
+                    .map {
+                        fixture.nowMs += 100
+                        fixture.granted(fixture.short()).upstream
+                    }.toSet()
+            assertEquals(1, used.size)
+        }
+
+        /** Guards the pause between events: two prompts that are read in one pass delay it together. */
+        @Test
+        fun `that come together go to several engines`() {
+            val fixture = PlacingFixture(engines = 6)
+            val used = (0 until 12).map { fixture.granted(fixture.short()).upstream }.toSet()
+            assertTrue(used.size >= 2, "used $used")
+        }
+
+        @Test
+        fun `go to one upstream each, and none gets more than its slots`() {
+            val fixture = PlacingFixture(engines = 2)
+            val counts = HashMap<UpstreamId, Int>()
+            repeat(2 * PlacingFixture.SLOTS) {
+                fixture.nowMs += 60
+                val granted = fixture.granted(fixture.short())
+                assertTrue(granted.helpers.isEmpty())
+                counts.merge(granted.upstream, 1, Int::plus)
+            }
+            assertEquals(setOf(PlacingFixture.SLOTS), counts.values.toSet())
+        }
+
+        /** Guards against all instances choosing the same engine while each places by itself. */
+        @Test
+        fun `are spread by placers that do not know of each other`() {
+            val fixture = PlacingFixture(engines = 6, spreadBy = 7)
+            val used =
+                (0 until 6)
+                    .map {
+                        fixture.nowMs += 100
+                        fixture.granted(fixture.short()).upstream
+                    }.toSet()
+            assertEquals(6, used.size)
+        }
+    }
+
+    @Nested
+    inner class LongPrompts {
+        /** One engine alone reads 2.8 s, which leaves nothing of the target of 3 s. */
+        @Test
+        fun `are split over as many engines as the target needs`() {
+            val fixture = PlacingFixture(engines = 9)
+            val granted = fixture.granted(fixture.long())
+            assertTrue(granted.helpers.isNotEmpty())
+            assertTrue(granted.firstByteMs <= 1_800, "predicted ${granted.firstByteMs} ms")
+        }
+
+        /** Guards the pauses of the short requests that write already. */
+        @Test
+        fun `are read on engines without short writers while there are enough`() {
+            val fixture = PlacingFixture(engines = 9)
+            val shortOn =
+                (0 until 6)
+                    .map {
+                        fixture.nowMs += 100
+                        fixture.granted(fixture.short()).upstream
+                    }.toSet()
+            val long = fixture.granted(fixture.long())
+            val longOn = long.helpers.map { it.upstream } + long.upstream
+            assertTrue(shortOn.none { it in longOn }, "short on $shortOn, long on $longOn")
+        }
+
+        /** Guards against a pause of over a second for the short streams beside the reading. */
+        @Test
+        fun `keep later short prompts away from the engines that read them`() {
+            val fixture = PlacingFixture(engines = 9)
+            val long = fixture.granted(fixture.long())
+            val longOn = (long.helpers.map { it.upstream } + long.upstream).toSet()
+            repeat(10) {
+                fixture.nowMs += 20
+                assertTrue(fixture.granted(fixture.short()).upstream !in longOn)
+            }
+        }
+
+        @Test
+        fun `larger than one engine reserve the missing memory on helpers`() {
+            val fixture = PlacingFixture(engines = 12)
+            val request = fixture.long(promptTokens = 900_000)
+            val granted = fixture.granted(request)
+            val reserved = granted.helpers.sumOf { it.reservedTokens }
+            assertTrue(reserved >= 450_000, "reserved $reserved")
+            assertTrue(granted.helpers.all { it.reservedTokens <= 450_000 })
+        }
+
+        /** Guards the accounting: memory reserved for one prompt is not given to the next. */
+        @Test
+        fun `that no memory is left for wait or are refused`() {
+            val fixture = PlacingFixture(engines = 3)
+            assertIs<Placement.Granted>(fixture.place(fixture.long(promptTokens = 900_000)))
+            val second = fixture.place(fixture.long(promptTokens = 900_000))
+            assertTrue(second == null || second is Placement.Refused)
+        }
+
+        @Test
+        fun `that fit no set of engines are refused at once with a time to come back`() {
+            val fixture = PlacingFixture(engines = 3)
+            val refused = assertIs<Placement.Refused>(fixture.place(fixture.long(promptTokens = 5_000_000)))
+            assertEquals(RefusedReason.TOO_LARGE, refused.reason)
+            assertTrue(refused.retryAfterMs > 0)
+        }
+    }
+
+    @Nested
+    inner class Waiting {
+        @Test
+        fun `a request without room waits and gets the first slot that comes free`() {
+            val fixture = PlacingFixture(engines = 1)
+            val running = fill(fixture)
+            val waiting = fixture.short()
+            assertNull(fixture.place(waiting))
+            val decisions = fixture.end(running.first(), UpstreamId("engine-0"))
+            assertEquals(waiting.request, decisions.single().request.request)
+            assertIs<Placement.Granted>(decisions.single().placement)
+        }
+
+        /** Guards against holding a request until its caller has left. */
+        @Test
+        fun `a request that waited too long is refused before its caller leaves`() {
+            val fixture = PlacingFixture(engines = 1)
+            fill(fixture)
+            assertNull(fixture.place(fixture.short()))
+            fixture.nowMs += 1_500
+            val decision = fixture.placer.tick(fixture.nowMs).single()
+            assertEquals(RefusedReason.EXPIRED, assertIs<Placement.Refused>(decision.placement).reason)
+        }
+
+        /** Guards against queueing what cannot be served in time any more. */
+        @Test
+        fun `a queue that no caller would outwait refuses at once`() {
+            val fixture = PlacingFixture(engines = 1)
+            fill(fixture)
+            val refused = (0 until 50).mapNotNull { fixture.place(fixture.short()) }
+            assertTrue(refused.isNotEmpty())
+            assertTrue(refused.all { it is Placement.Refused && it.reason == RefusedReason.OVERLOADED })
+        }
+
+        @Test
+        fun `a withdrawn request frees its place`() {
+            val fixture = PlacingFixture(engines = 1)
+            val running = fill(fixture)
+            val waiting = fixture.short()
+            fixture.place(waiting)
+            val decisions = fixture.placer.withdraw(running.first().request, fixture.nowMs)
+            assertEquals(waiting.request, decisions.single().request.request)
+        }
+
+        private fun fill(fixture: PlacingFixture): List<PlaceRequest> =
+            (0 until PlacingFixture.SLOTS).map {
+                fixture.nowMs += 60
+                fixture.short().also { request -> fixture.granted(request) }
+            }
+    }
+
+    @Nested
+    inner class Upstreams {
+        @Test
+        fun `closed ones get nothing`() {
+            val fixture = PlacingFixture(engines = 3)
+            fixture.change { it.copy(isOpen = it.id.value == "engine-2") }
+            assertEquals(UpstreamId("engine-2"), fixture.granted(fixture.short()).upstream)
+        }
+
+        @Test
+        fun `a service without open upstreams refuses at once`() {
+            val fixture = PlacingFixture(engines = 2)
+            fixture.change { it.copy(isOpen = false) }
+            assertEquals(
+                RefusedReason.NO_UPSTREAM,
+                assertIs<Placement.Refused>(fixture.place(fixture.short())).reason,
+            )
+        }
+
+        @Test
+        fun `one that failed is left alone for a while`() {
+            val fixture = PlacingFixture(engines = 2)
+            val request = fixture.short()
+            val first = fixture.granted(request).upstream
+            fixture.end(request, first, PlaceOutcome.FAILED)
+            assertNotEquals(first, fixture.granted(fixture.short()).upstream)
+        }
+
+        @Test
+        fun `those that failed a request are excluded from its next attempt`() {
+            val fixture = PlacingFixture(engines = 2)
+            val first = fixture.granted(fixture.short()).upstream
+            assertNotEquals(first, fixture.granted(fixture.short(excluded = setOf(first))).upstream)
+        }
+
+        @Test
+        fun `a silent one is used only when no other is left`() {
+            val fixture = PlacingFixture(engines = 2)
+            fixture.change { it.copy(isSilent = it.id.value == "engine-0") }
+            assertEquals(UpstreamId("engine-1"), fixture.granted(fixture.short()).upstream)
+            fixture.change { it.copy(isOpen = it.id.value == "engine-0") }
+            assertEquals(UpstreamId("engine-0"), fixture.granted(fixture.short()).upstream)
+        }
+
+        /** Guards the bound of a cold upstream, which may turn cold at any moment. */
+        @Test
+        fun `none gets more requests within a second than a cold one carries`() {
+            val fixture = PlacingFixture(engines = 1)
+            var granted = 0
+            repeat(100) {
+                fixture.nowMs += 5
+                val request = fixture.short()
+                if (fixture.place(request) is Placement.Granted) {
+                    granted++
+                    fixture.end(request, UpstreamId("engine-0"), PlaceOutcome.CANCELLED)
+                }
+            }
+            assertTrue(granted <= PlacingFixture.COLD_PER_S, "granted $granted")
+        }
+
+        /** Guards against a slot that is lost for good when nobody reports the end of a request. */
+        @Test
+        fun `a request whose end is never reported is forgotten after its deadline`() {
+            val fixture = PlacingFixture(engines = 1)
+            fixture.granted(fixture.short(deadlineMs = 1_000))
+            fixture.nowMs += 3_000
+            fixture.placer.tick(fixture.nowMs)
+            assertEquals(0, fixture.placer.placedOn(UpstreamId("engine-0")))
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacingFixture.kt
@@ -0,0 +1,87 @@
+package samphirechute.routing.placing
+
+import samphirechute.core.FailureDomain
+import samphirechute.core.HostPort
+import samphirechute.core.InstanceId
+import samphirechute.core.RequestId
+import samphirechute.core.ServiceName
+import samphirechute.core.UpstreamId
+
+/** Engines and requests of one service for tests of placement, on times that the test gives. */
+internal class PlacingFixture(
+    engines: Int,
+    spreadBy: Int? = null,
+) {
+    val placer = Placer(spreadBy)
+    var nowMs = 1_000L
+    private var nextRequest = 0
+    private var upstreams = (0 until engines).map(::engine)
+
+    init {
+        placer.setPools(listOf(PoolProfile(SERVICE, PROFILE, coldRequestsPerS = COLD_PER_S)))
+        placer.setUpstreams(upstreams)
+    }
+
+    fun change(transform: (PlacedUpstream) -> PlacedUpstream) {
+        upstreams = upstreams.map(transform)
+        placer.setUpstreams(upstreams)
+    }
+
+    fun short(
+        excluded: Set<UpstreamId> = emptySet(),
+        deadlineMs: Long = 10_000,
+    ) = request(5_000, 1_600, 300, 200, excluded, deadlineMs)
+
+    fun medium() = request(45_000, 960, 1_500, 500)
+
+    fun long(promptTokens: Long = 210_000) = request(promptTokens, 780, 3_000, 800, deadlineMs = 15_000)
+
+    fun place(request: PlaceRequest): Placement? = placer.place(request, nowMs)
+
+    fun granted(request: PlaceRequest) = place(request) as Placement.Granted
+
+    fun end(
+        request: PlaceRequest,
+        upstream: UpstreamId,
+        outcome: PlaceOutcome = PlaceOutcome.DONE,
+    ) = placer.ended(PlaceResult(request.request, upstream, outcome, 100), nowMs)
+
+    private fun request(
+        promptTokens: Long,
+        answerTokens: Long,
+        targetMs: Long,
+        gapMs: Long,
+        excluded: Set<UpstreamId> = emptySet(),
+        deadlineMs: Long = 10_000,
+    ) = PlaceRequest(
+        RequestId("r-${nextRequest++}"),
+        InstanceId("127.0.0.1:1"),
+        FailureDomain("domain-0"),
+        SERVICE,
+        promptTokens = promptTokens,
+        answerTokens = answerTokens,
+        targetMs = targetMs,
+        targetGapMs = gapMs,
+        deadlineMs = deadlineMs,
+        excluded = excluded,
+    )
+
+    private fun engine(index: Int) =
+        PlacedUpstream(
+            UpstreamId("engine-$index"),
+            SERVICE,
+            HostPort("10.0.0.$index", 8080),
+            FailureDomain("domain-${index % DOMAINS}"),
+            SLOTS,
+        )
+
+    companion object {
+        const val SLOTS = 11
+        const val COLD_PER_S = 38.0
+        private const val DOMAINS = 3
+        val SERVICE = ServiceName("drafts")
+
+        /** The engines of the users' deployments, from the figures of their configuration. */
+        val PROFILE = EngineProfile(SLOTS, 450_000, 46, 0.925, 0.007, 0.00254, 256.0, 0.0917, 2_048, 0.1)
+    }
+}
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -35,6 +35,7 @@
     private val excluded = LinkedHashSet<UpstreamId>()
     private val timeout: Subscription = context.timer.after(untilMs - arrivedMs) { timedOut() }
     private var attempt: Attempt? = null
+    private var memory: MemoryHold? = null
     private var upstream: UpstreamId? = null
     private var stream: ResponseStream? = null
     private var lastEventId = caller.lastEventId
@@ -139,8 +140,21 @@
                 ::attemptEnded,
             )
         attempt = next
-        val dispatch =
-            Dispatch(granted.upstream, granted.helpers, leftMs(), accepted.team?.name, lastEventId)
+        val hold = MemoryHold(context, requestId, sends, granted.helpers)
+        memory = hold
+        hold.acquire { isGranted -> if (attempt === next) send(next, granted, hold, isGranted) }
+    }
+
+    private fun send(
+        next: Attempt,
+        granted: Placement.Granted,
+        hold: MemoryHold,
+        isGranted: Boolean,
+    ) {
+        if (!isGranted) {
+            return attemptEnded(next, AttemptResult.NotRun("no_memory", isGone = false, isConnected = true))
+        }
+        val dispatch = Dispatch(granted.upstream, hold.helpers, leftMs(), accepted.team?.name, lastEventId)
         next.start(granted.address, dispatch, isOnce = !isRepeatable)
     }
 
@@ -164,6 +178,7 @@
         context.places.ended(PlaceResult(requestId, target, result.outcome, ended.firstByteMs))
         context.log.attempt(result.label)
         attempt = null
+        memory?.release()
         when (result) {
             is AttemptResult.Answered -> answered(target, result)
             is AttemptResult.StreamEnded -> streamEnded()
@@ -274,6 +289,7 @@
         attempt = null
         if (current == null) return context.places.withdraw(requestId)
         current.cancel()
+        memory?.release()
         upstream?.let { context.places.ended(PlaceResult(requestId, it, outcome, current.firstByteMs)) }
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
@@ -4,6 +4,7 @@
 import samphirechute.core.RequestId
 import samphirechute.core.TeamName
 import samphirechute.core.UpstreamId
+import samphirechute.net.ClientRequest
 import samphirechute.net.HeaderField
 import samphirechute.net.ResponseHead
 import samphirechute.net.ServerRequest
@@ -20,8 +21,32 @@
     ): List<HeaderField>
 
     fun readAnswer(head: ResponseHead): UpstreamAnswer
+
+    /** Sets memory of an engine aside for [holdMs], or sets it aside for so long from now once more. */
+    fun reserve(
+        address: HostPort,
+        reservation: Reservation,
+        holdMs: Long,
+    ): ClientRequest
+
+    fun release(
+        address: HostPort,
+        reservation: Reservation,
+    ): ClientRequest
 }
 
+/** Memory that is set aside on one engine for one request. */
+data class Reservation(
+    val id: String,
+    val tokens: Long,
+)
+
+/** An engine that reads a part of the prompt, with the memory that it holds for it. */
+data class Helper(
+    val address: HostPort,
+    val reservation: Reservation? = null,
+)
+
 class CallerRequest(
     val id: RequestId?,
     val host: String,
@@ -36,7 +61,7 @@
 /** One sending of a request to one upstream. */
 class Dispatch(
     val upstream: UpstreamId,
-    val helpers: List<HostPort>,
+    val helpers: List<Helper>,
     val deadlineMs: Long,
     val team: TeamName?,
     val lastEventId: Long?,
