--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -17,8 +17,12 @@
 
     private val asking = LinkedHashMap<InstanceId, StoreMember>()
 
-    /** The members that asked to join and are not in the membership. */
-    val candidates: List<StoreMember> get() = asking.values.filter { !member.isVoter(it.identity) }
+    /** Those that asked to join, and those that answer for a voter with another disk since theirs was wiped. */
+    val candidates: List<StoreMember>
+        get() {
+            val wiped = member.voters.mapNotNull { old -> unknownDisks[old.instance]?.let { old.copy(diskId = it) } }
+            return (asking.values.filter { !member.isVoter(it.identity) } + wiped).distinctBy { it.instance }
+        }
 
     private val heardDisks = mutableMapOf<InstanceId, String>()
 
--- a/state/src/test/kotlin/samphirechute/state/sim/RaftNetwork.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/RaftNetwork.kt
@@ -14,6 +14,7 @@
     private val cuts = mutableSetOf<Pair<InstanceId, InstanceId>>()
     var lossPercent = 0
     var repeatPercent = 0
+    var minDelayMs = 1L
     var maxDelayMs = 3L
 
     fun send(
@@ -24,7 +25,7 @@
         if (from to to in cuts || random.nextInt(PERCENT) < lossPercent) return
         val copies = if (random.nextInt(PERCENT) < repeatPercent) 2 else 1
         repeat(copies) {
-            timer.after(1 + random.nextLong(maxDelayMs)) { if (from to to !in cuts) deliver(to, message) }
+            timer.after(minDelayMs + random.nextLong(maxDelayMs)) { if (from to to !in cuts) deliver(to, message) }
         }
     }
 
@@ -35,10 +36,17 @@
         cuts += from to to
     }
 
+    /** Cuts [node] from all [others] both ways. */
+    fun isolate(
+        node: InstanceId,
+        others: Collection<InstanceId>,
+    ) = (others - node).forEach { cuts += listOf(node to it, it to node) }
+
     fun heal() {
         cuts.clear()
         lossPercent = 0
         repeatPercent = 0
+        minDelayMs = 1
         maxDelayMs = 3
     }
 
