--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -12,6 +12,7 @@
 import samphirechute.serving.cluster.DrainedDomains
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamRecord
+import samphirechute.serving.cluster.UpstreamState
 import samphirechute.serving.cluster.UpstreamTable
 import samphirechute.serving.cluster.UpstreamView
 import samphirechute.serving.cluster.WatchSink
@@ -59,6 +60,9 @@
 
     val runningRequests: Int get() = desk.running
 
+    /** Upstreams that are known and have not left. */
+    val knownUpstreams: Int get() = table.all().count { it.state != UpstreamState.GONE }
+
     fun start() {
         watcher.start()
         places.start()
