Choose engines for long prompts by what the requests beside them lose

Change: of all splits that meet the target, the one with the least weight of requests whose pause becomes too long; else the fastest. Short prompts are packed by strict writers and kept off engines with long reading. Ends of requests are resent until the coordinator hears them, and what was placed for an instance that is gone is freed.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -25,6 +25,7 @@
     private val spreadBy: Int?,
 ) {
     private val readMs = profile.readMs(request.promptTokens)
+    private val helpers = candidates.filter(::canHelp)
     private val neededTokens = request.promptTokens + request.answerTokens
     private val gapMs = request.targetGapMs ?: Long.MAX_VALUE
 
@@ -32,7 +33,7 @@
         val heads = candidates.filter(::canAnswer)
         if (heads.isEmpty()) return null
         if (readMs <= SHORT_READ_MS) return chooseShort(heads.filter(::holdsAll).ifEmpty { return null })
-        return gentleSplit(heads) ?: strictSplit(heads)
+        return chooseLong(heads)
     }
 
     /** The fullest engine on which neither this request nor those beside it have to pause for too long. */
@@ -46,7 +47,8 @@
     private fun packingRank(load: UpstreamLoad): Int {
         if (spreadBy != null) return -load.running * SPREAD_RANK - spreadRank(load)
         val near = if (load.upstream.failureDomain == request.failureDomain) 1 else 0
-        return load.running * 2 + near
+        val apart = if (load.isReadingLong(nowMs)) 0 else 2
+        return load.strictWriters * PACKING_RANK + apart + near
     }
 
     private fun spreadRank(load: UpstreamLoad) =
@@ -55,30 +57,45 @@
                 .hashCode() xor (spreadBy ?: 0)
         ).mod(SPREAD_RANK)
 
-    /** The fewest engines that meet the target without harm to others; null when there are none. */
-    private fun gentleSplit(heads: List<UpstreamLoad>): EngineSplit? {
-        val byWait = candidates.sortedBy { it.readWaitMs(nowMs) }
+    /** Of all splits that meet the target, the one that costs the requests beside it least; else the fastest. */
+    private fun chooseLong(heads: List<UpstreamLoad>): EngineSplit? {
+        val goalMs = TARGET_SHARE * request.targetMs
+        var best: EngineSplit? = null
+        var bestCost = Double.MAX_VALUE
         for (parts in 1..MAX_PARTS) {
             val partMs = readMs / parts
-            val split = split(byWait.filter { canHelp(it) && slackMs(it) >= partMs }, heads, parts) ?: continue
-            if (split.firstEventMs <= TARGET_SHARE * request.targetMs) return split
+            val inTime = helpers.filter { firstEventMs(it, partMs) <= goalMs }
+            if (inTime.size < parts) continue
+            val harms = inTime.associateWith { harm(it, partMs) }
+            val ordered = inTime.sortedWith(compareBy({ harms.getValue(it) }, { it.readWaitMs(nowMs) }))
+            val split = split(ordered, heads, parts) ?: continue
+            val harm = split.engines.sumOf { harm(it, partMs) }
+            val cost = harm + PART_COST * parts
+            if (cost < bestCost) {
+                best = split
+                bestCost = cost
+            }
+            if (harm == 0.0) break
         }
-        return null
+        return best ?: chooseFastest(heads)
     }
 
-    /** Meets the target at the cost of few others, or comes as near to it as it can. */
-    private fun strictSplit(heads: List<UpstreamLoad>): EngineSplit? {
-        val byHarm =
-            candidates.filter(::canHelp).sortedWith(compareBy({ it.strictWriters }, { it.readWaitMs(nowMs) }))
+    private fun chooseFastest(heads: List<UpstreamLoad>): EngineSplit? {
+        val byWait = helpers.sortedBy { it.readWaitMs(nowMs) }
         var best: EngineSplit? = null
         for (parts in 1..MAX_PARTS) {
-            val split = split(byHarm, heads, parts) ?: continue
-            if (split.firstEventMs <= TARGET_SHARE * request.targetMs) return split
+            val split = split(byWait, heads, parts) ?: continue
             if (best == null || split.firstEventMs < best.firstEventMs * WORTHWHILE) best = split
         }
         return best
     }
 
+    /** The weight of the requests on an engine whose next pause becomes too long when a part is read there. */
+    private fun harm(
+        load: UpstreamLoad,
+        partMs: Double,
+    ): Double = load.weightOfPausesBelow((load.passMs(profile) + load.readWaitMs(nowMs) + partMs) / GAP_SHARE)
+
     /** The first [parts] of [ordered], one of which must be able to answer. */
     private fun split(
         ordered: List<UpstreamLoad>,
@@ -173,5 +190,9 @@
         const val RESERVED_SHARE = 0.9
         const val WRITER_RANK = 100
         const val SPREAD_RANK = 997
+        const val PACKING_RANK = 4
+
+        /** The weight of one more engine, each of which sees its passes grow longer; a short request weighs 1.5. */
+        const val PART_COST = 0.1
     }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -1,5 +1,6 @@
 package samphirechute.routing.placing
 
+import samphirechute.core.InstanceId
 import samphirechute.core.RequestId
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
@@ -90,6 +91,14 @@
         return pools.values.flatMap { dispatch(it, nowMs) }
     }
 
+    /** Frees all that was placed for instances that are gone; their connections, and so their requests, have ended. */
+    fun forget(
+        isGone: (InstanceId) -> Boolean,
+        nowMs: Long,
+    ) {
+        placed.values.filter { isGone(it.request.instance) }.forEach { free(it, nowMs) }
+    }
+
     /** Dispatches what has room by now, refuses what waited too long, and forgets what was never reported as ended. */
     fun tick(nowMs: Long): List<Decision> {
         placed.values.filter { nowMs > it.untilMs }.forEach { free(it, nowMs) }
@@ -197,7 +206,8 @@
         split.engines.forEachIndexed { index, load ->
             val isHead = index == 0
             val memory = if (isHead) headTokens else split.reservedTokens[load] ?: 0L
-            val job = UpstreamLoad.Job(isHead, split.partMs, memory, gapMs, nowMs, split.firstEventMs)
+            val weight = 1 + request.promptTokens / TOKENS_PER_WEIGHT
+            val job = UpstreamLoad.Job(isHead, split.partMs, memory, gapMs, nowMs, split.firstEventMs, weight)
             load.add(request.request, job, nowMs)
         }
         val head =
@@ -279,6 +289,7 @@
         const val NO_UPSTREAM_RETRY_MS = 1_000L
         const val TOO_LARGE_RETRY_MS = 3_000L
         const val MAX_HOLDERS = 8
+        const val TOKENS_PER_WEIGHT = 10_000.0
         const val RETRY_MS = 300L
         const val LONGEST_RETRY_MS = 3_000L
         const val TRUST_AFTER_ANSWER_MS = 2_000L
--- a/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
@@ -39,6 +39,13 @@
     /** The shortest pause that a request here may have; null when none runs. */
     fun shortestGapMs(): Long? = jobs.values.filter { it.isHead }.minOfOrNull { it.gapMs }
 
+    /** The weight of the requests that write here and must not pause for [pauseMs]. */
+    fun weightOfPausesBelow(pauseMs: Double): Double =
+        jobs.values.filter { it.isHead && it.gapMs < pauseMs }.sumOf { it.weight }
+
+    /** True while more is to be read than short requests bring. */
+    fun isReadingLong(nowMs: Long) = readWaitMs(nowMs) > LONG_READ_MS
+
     fun readWaitMs(nowMs: Long) = max(0.0, readDoneMs - nowMs)
 
     fun passMs(profile: EngineProfile) = profile.passMs(running, memoryTokens) * pace
@@ -102,10 +109,13 @@
         val gapMs: Long,
         val placedMs: Long,
         val predictedMs: Double,
+        /** What is lost when this request is late; longer prompts ask for more work and are worth more. */
+        val weight: Double,
     )
 
     private companion object {
         const val STRICT_GAP_MS = 250L
+        const val LONG_READ_MS = 110.0
         const val WINDOW_MS = 1_000L
         const val WEIGHT = 0.2
         const val MAX_PACE = 10.0
--- a/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
@@ -1,5 +1,6 @@
 package samphirechute.serving.control
 
+import samphirechute.core.InstanceId
 import samphirechute.core.RequestId
 import samphirechute.core.time.TimerService
 import samphirechute.net.peer.PeerApi
@@ -19,12 +20,14 @@
     private val timer: TimerService,
     private val store: StoreKeeper,
     private val placer: Placer,
+    private val isGone: (InstanceId) -> Boolean,
 ) {
     private val decided = HashMap<RequestId, Placement>()
     private val awaiting = HashMap<RequestId, PeerExchange<PlaceReply>>()
 
     fun start() {
         timer.every(TICK_MS) { decide(placer.tick(timer.nowMs())) }
+        timer.every(FORGET_MS) { placer.forget(isGone, timer.nowMs()) }
     }
 
     fun serve(api: PeerApi) {
@@ -80,6 +83,7 @@
 
     private companion object {
         const val TICK_MS = 20L
+        const val FORGET_MS = 500L
         const val KEEP_MS = 2_000L
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
@@ -49,6 +49,12 @@
         return entriesMs.size
     }
 
+    /** True for an entry instance that asked before and no longer does. */
+    fun isGone(instance: InstanceId): Boolean {
+        val askedMs = entriesMs[instance] ?: return false
+        return timer.nowMs() - askedMs > GONE_MS
+    }
+
     private fun hold(
         request: WatchRequest,
         exchange: PeerExchange<WatchReply>,
@@ -106,5 +112,8 @@
     private companion object {
         const val HOLD_MS = 1_000L
         const val ENTRY_KEEP_MS = 10_000L
+
+        /** Instances ask again within about a second of each answer. */
+        const val GONE_MS = 3_000L
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
@@ -197,7 +197,20 @@
         val address = (lastCoordinator ?: coordinator())?.address ?: return drop()
         val message = PlaceEnds(results.toList(), own.toList(), withdrawn.toList())
         drop()
-        client.call(address, ClusterRoutes.ends, message, ASK_TIMEOUT_MS) { }
+        client.call(address, ClusterRoutes.ends, message, ASK_TIMEOUT_MS) { result ->
+            result.fold({ }) { sendAgain(message) }
+        }
+    }
+
+    /** An end that is not heard keeps its place taken until the deadline; receiving it twice does no harm. */
+    private fun sendAgain(message: PlaceEnds) {
+        if (results.size + message.results.size > MAX_KEPT) {
+            log.event("ends_dropped", mapOf("results" to message.results.size))
+            return
+        }
+        results += message.results
+        withdrawn += message.withdrawn
+        timer.after(AVOID_MS) { flushSoon() }
     }
 
     private fun drop() {
@@ -214,6 +227,7 @@
         /** After a question without an answer, the instance decides by itself for so long. */
         const val AVOID_MS = 400L
         const val RETRY_MS = 300L
+        const val MAX_KEPT = 1_000
         val log = KeyValueLog("place")
     }
 }
