--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -67,7 +67,8 @@
             val inTime = helpers.filter { firstEventMs(it, partMs) <= goalMs }
             if (inTime.size < parts) continue
             val harms = inTime.associateWith { harm(it, partMs) }
-            val ordered = inTime.sortedWith(compareBy({ harms.getValue(it) }, { it.readWaitMs(nowMs) }))
+            // The engine with the longest wait that is still in time comes first, so that others stay free of reading.
+            val ordered = inTime.sortedWith(compareBy({ harms.getValue(it) }, { -it.readWaitMs(nowMs) }))
             val split = split(ordered, heads, parts) ?: continue
             val harm = split.engines.sumOf { harm(it, partMs) }
             val cost = harm + PART_COST * parts
