Log the first event and the longest pause of each request

Cause: a late stream could not be told from a late first event in the logs. Change: two more fields of the line that ends a request.

--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -39,6 +39,9 @@
     private var upstream: UpstreamId? = null
     private var stream: ResponseStream? = null
     private var lastEventId = caller.lastEventId
+    private var lastEventMs: Long? = null
+    private var longestPauseMs = 0L
+    private var firstByteMs: Long? = null
     private var sends = 0
     private var mayHaveRun = false
 
@@ -63,12 +66,20 @@
         }
         if (event.id != null) lastEventId = event.id
         val open = stream ?: begin(head)
+        notePause()
         open.write(event.bytes)
         attempt?.setReading(open.isWritable)
         return true
     }
 
+    private fun notePause() {
+        val nowMs = context.timer.nowMs()
+        lastEventMs?.let { longestPauseMs = max(longestPauseMs, nowMs - it) }
+        lastEventMs = nowMs
+    }
+
     private fun begin(head: ResponseHead): ResponseStream {
+        firstByteMs = elapsedMs()
         context.log.firstByte(route.name, elapsedMs())
         val started = exchange.startRelay(head.status, head.fields.filter(HopHeaders::passes), null)
         started.onWritable = { attempt?.setReading(true) }
@@ -317,6 +328,8 @@
                 "upstream" to upstream,
                 "ran" to mayHaveRun,
                 "events" to lastEventId,
+                "first_ms" to firstByteMs,
+                "longest_pause_ms" to longestPauseMs,
                 "ms" to elapsedMs(),
             ),
         )
