Let long prompts wait for engines that read nothing else

Change: a long prompt is split over engines that read nothing else and otherwise waits at the coordinator; a fifth of the engines is kept free of long reading.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -1,5 +1,7 @@
 package samphirechute.routing.placing
 
+import kotlin.math.abs
+import kotlin.math.ceil
 import kotlin.math.max
 
 /** The engines that a prompt is read on, the one that answers first, and the predicted time to its first event. */
@@ -23,10 +25,15 @@
     private val request: PlaceRequest,
     private val nowMs: Long,
     private val spreadBy: Int?,
+    private val waitedMs: Long = 0,
 ) {
     private val readMs = profile.readMs(request.promptTokens)
     private val helpers = candidates.filter(::canHelp)
     private val neededTokens = request.promptTokens + request.answerTokens
+    private val weight = request.weight
+
+    /** Some engines are kept free of long reading for the short prompts that come meanwhile. */
+    private val maxReaders = (candidates.size - candidates.size / KEPT_ONE_IN).coerceAtLeast(1)
     private val gapMs = request.targetGapMs ?: Long.MAX_VALUE
 
     fun choose(): EngineSplit? {
@@ -57,40 +64,71 @@
                 .hashCode() xor (spreadBy ?: 0)
         ).mod(SPREAD_RANK)
 
-    /** Of all splits that meet the target, the one that costs the requests beside it least; else the fastest. */
+    /**
+     * Splits a prompt over engines that read nothing else. Engines read the parts of a later prompt before what waits there,
+     * so a prompt that finds too few free engines waits here rather than in their queues; null says so.
+     */
     private fun chooseLong(heads: List<UpstreamLoad>): EngineSplit? {
-        val goalMs = TARGET_SHARE * request.targetMs
+        val free = helpers.filter { it.readWaitMs(nowMs) <= FREE_READ_MS }
+        val leftMs = TARGET_SHARE_LONG * request.targetMs - waitedMs
+        val split = cheapest(free, heads, leftMs)
+        if (split != null) {
+            val isPressed = split.firstEventMs + PRESSING_MS >= leftMs
+            return split.takeIf { isPressed || harmOf(it) <= HARM_SHARE * weight }
+        }
+        val isLost = readMs / minOf(MAX_PARTS, maxReaders) > leftMs
+        return if (isLost) chooseLate(free, heads) else null
+    }
+
+    /** Of the splits that are in time, the one that costs the requests beside it least. */
+    private fun cheapest(
+        free: List<UpstreamLoad>,
+        heads: List<UpstreamLoad>,
+        leftMs: Double,
+    ): EngineSplit? {
+        val wanted = ceil(readMs / PART_MS).toInt().coerceIn(1, MAX_PARTS)
         var best: EngineSplit? = null
         var bestCost = Double.MAX_VALUE
-        for (parts in 1..MAX_PARTS) {
+        for (parts in 1..minOf(MAX_PARTS, free.size, openReaders())) {
             val partMs = readMs / parts
-            val inTime = helpers.filter { firstEventMs(it, partMs) <= goalMs }
+            val inTime = free.filter { firstEventMs(it, partMs) <= leftMs }
             if (inTime.size < parts) continue
             val harms = inTime.associateWith { harm(it, partMs) }
-            // The engine with the longest wait that is still in time comes first, so that others stay free of reading.
-            val ordered = inTime.sortedWith(compareBy({ harms.getValue(it) }, { -it.readWaitMs(nowMs) }))
+            val ordered = inTime.sortedWith(compareBy({ harms.getValue(it) }, { it.strictWriters }))
             val split = split(ordered, heads, parts) ?: continue
-            val harm = split.engines.sumOf { harm(it, partMs) }
-            val cost = harm + PART_COST * parts
-            if (cost < bestCost) {
-                best = split
-                bestCost = cost
-            }
-            if (harm == 0.0) break
+            val cost = harmOf(split) + PART_COST * abs(parts - wanted)
+            if (cost >= bestCost) continue
+            best = split
+            bestCost = cost
         }
-        return best ?: chooseFastest(heads)
+        return best
     }
 
-    private fun chooseFastest(heads: List<UpstreamLoad>): EngineSplit? {
-        val byWait = helpers.sortedBy { it.readWaitMs(nowMs) }
-        var best: EngineSplit? = null
-        for (parts in 1..MAX_PARTS) {
-            val split = split(byWait, heads, parts) ?: continue
-            if (best == null || split.firstEventMs < best.firstEventMs * WORTHWHILE) best = split
+    /** For a prompt that cannot be in time any more: the engines on which it harms nobody, if it may wait for them. */
+    private fun chooseLate(
+        free: List<UpstreamLoad>,
+        heads: List<UpstreamLoad>,
+    ): EngineSplit? {
+        val isPressed = waitedMs > LATE_WAIT_SHARE * LEAVE_TARGETS * request.targetMs
+        val allowed = if (isPressed) helpers else free
+        val most = if (isPressed) maxReaders else openReaders()
+        for (parts in minOf(MAX_PARTS, allowed.size, most) downTo 1) {
+            val partMs = readMs / parts
+            val chosen = if (isPressed) allowed else allowed.filter { harm(it, partMs) == 0.0 }
+            val split = split(chosen.sortedBy { it.readWaitMs(nowMs) }, heads, parts) ?: continue
+            if (isPressed ||
+                split.firstEventMs + waitedMs <= LATE_SHARE * LEAVE_TARGETS * request.targetMs
+            ) {
+                return split
+            }
         }
-        return best
+        return null
     }
 
+    private fun openReaders() = maxReaders - candidates.count { it.isReadingLong(nowMs) }
+
+    private fun harmOf(split: EngineSplit) = split.engines.sumOf { harm(it, split.partMs) }
+
     /** The weight of the requests on an engine whose next pause becomes too long when a part is read there. */
     private fun harm(
         load: UpstreamLoad,
@@ -175,15 +213,36 @@
         /** The part of the target that a prediction may take; the rest covers the way and what comes meanwhile. */
         const val TARGET_SHARE = 0.6
 
+        /** As above for prompts that wait here and not at an engine, so that little else comes between. */
+        const val TARGET_SHARE_LONG = 0.85
+
+        /** An engine whose reading ends so soon counts as free. */
+        const val FREE_READ_MS = 30.0
+
+        /** The reading that one part should take: long against a pass, short against the targets. */
+        const val PART_MS = 350.0
+
+        /** A prompt is not kept waiting for a better split when it would be late this soon. */
+        const val PRESSING_MS = 400.0
+
+        /** Others may lose this share of what the prompt is worth before it has to be pressed. */
+        const val HARM_SHARE = 0.1
+
+        /** Callers leave a stream that has not begun after this many targets. */
+        const val LEAVE_TARGETS = 4.0
+
+        /** The parts of that time by which a late prompt has to begin, and after which it takes any engine. */
+        const val LATE_SHARE = 0.8
+        const val LATE_WAIT_SHARE = 0.3
+
+        const val KEPT_ONE_IN = 5
+
         /** The part of an allowed pause that predicted work may take. */
         const val GAP_SHARE = 0.85
 
         /** A request that arrives waits for the end of the running pass and shares the next one. */
         const val PASSES_TO_FIRST = 1.5
 
-        /** One more engine must bring the first event at least this much nearer. */
-        const val WORTHWHILE = 0.9
-
         /** Memory is given out in blocks, and reports of it lag, so a little is left free. */
         const val MEMORY_SHARE = 0.97
 
@@ -193,7 +252,7 @@
         const val SPREAD_RANK = 997
         const val PACKING_RANK = 4
 
-        /** The weight of one more engine, each of which sees its passes grow longer; a short request weighs 1.5. */
+        /** The weight of one engine more or less than wanted; a short request weighs 1.5. */
         const val PART_COST = 0.1
     }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
@@ -31,8 +31,12 @@
     /** Upstreams that have failed this request. */
     val excluded: Set<UpstreamId> = emptySet(),
 ) {
+    /** What is lost when this request is late; longer prompts ask for more work and are worth more. */
+    val weight: Double get() = 1 + promptTokens / TOKENS_PER_WEIGHT
+
     companion object {
         const val DEFAULT_PRIORITY = 5
+        private const val TOKENS_PER_WEIGHT = 10_000.0
     }
 }
 
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -133,22 +133,9 @@
     ): Placement.Granted? {
         val candidates = candidates(pool.profile, request, nowMs)
         val engine = pool.profile.engine
-        return if (engine !=
-            null
-        ) {
-            placeOnEngines(engine, candidates, request, nowMs)
-        } else {
-            placePlain(candidates, request, nowMs)
-        }
-    }
-
-    private fun placeOnEngines(
-        profile: EngineProfile,
-        candidates: List<UpstreamLoad>,
-        request: PlaceRequest,
-        nowMs: Long,
-    ): Placement.Granted? {
-        val split = EngineChoice(profile, candidates, request, nowMs, spreadBy).choose() ?: return null
+        if (engine == null) return placePlain(candidates, request, nowMs)
+        val waitedMs = pool.waitedMs(request.request, nowMs)
+        val split = EngineChoice(engine, candidates, request, nowMs, spreadBy, waitedMs).choose() ?: return null
         record(request, split, nowMs)
         return granted(split)
     }
@@ -206,8 +193,7 @@
         split.engines.forEachIndexed { index, load ->
             val isHead = index == 0
             val memory = if (isHead) headTokens else split.reservedTokens[load] ?: 0L
-            val weight = 1 + request.promptTokens / TOKENS_PER_WEIGHT
-            val job = UpstreamLoad.Job(isHead, split.partMs, memory, gapMs, nowMs, split.firstEventMs, weight)
+            val job = UpstreamLoad.Job(isHead, split.partMs, memory, gapMs, nowMs, split.firstEventMs, request.weight)
             load.add(request.request, job, nowMs)
         }
         val head =
@@ -289,7 +275,6 @@
         const val NO_UPSTREAM_RETRY_MS = 1_000L
         const val TOO_LARGE_RETRY_MS = 3_000L
         const val MAX_HOLDERS = 8
-        const val TOKENS_PER_WEIGHT = 10_000.0
         const val RETRY_MS = 300L
         const val LONGEST_RETRY_MS = 3_000L
         const val TRUST_AFTER_ANSWER_MS = 2_000L
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
@@ -19,6 +19,11 @@
         waiting[request.request] = Waiting(request, nowMs, untilMs)
     }
 
+    fun waitedMs(
+        request: RequestId,
+        nowMs: Long,
+    ): Long = waiting[request]?.let { nowMs - it.sinceMs } ?: 0
+
     fun remove(request: RequestId) = waiting.remove(request) != null
 
     /** Urgent requests first, and in order of arrival. */
