Free the place of an earlier attempt when the next one is placed

Cause: the end of an attempt is sent a few milliseconds later than the question for the next place; the coordinator then matched it with the new place and never freed the old one. Change: placing frees what the same request held.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -188,6 +188,8 @@
         split: EngineSplit,
         nowMs: Long,
     ) {
+        // A request runs in one place at a time; word of the end of its last attempt may be under way still.
+        placed[request.request]?.let { free(it, nowMs) }
         val gapMs = request.targetGapMs ?: Long.MAX_VALUE
         val headTokens = request.promptTokens + request.answerTokens - split.reservedTokens.values.sum()
         split.engines.forEachIndexed { index, load ->
