--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -74,7 +74,8 @@
         val split = cheapest(free, heads, leftMs)
         if (split != null) {
             val isPressed = split.firstEventMs + PRESSING_MS >= leftMs
-            return split.takeIf { isPressed || harmOf(it) <= HARM_SHARE * weight }
+            val harmShare = if (isPressed) PRESSED_HARM_SHARE else HARM_SHARE
+            return split.takeIf { harmOf(it) <= harmShare * weight }
         }
         val isLost = readMs / minOf(MAX_PARTS, maxReaders) > leftMs
         return if (isLost) chooseLate(free, heads) else null
@@ -110,17 +111,13 @@
         heads: List<UpstreamLoad>,
     ): EngineSplit? {
         val isPressed = waitedMs > LATE_WAIT_SHARE * LEAVE_TARGETS * request.targetMs
-        val allowed = if (isPressed) helpers else free
-        val most = if (isPressed) maxReaders else openReaders()
-        for (parts in minOf(MAX_PARTS, allowed.size, most) downTo 1) {
+        val harmShare = if (isPressed) PRESSED_HARM_SHARE else 0.0
+        for (parts in minOf(MAX_PARTS, free.size, openReaders()) downTo 1) {
             val partMs = readMs / parts
-            val chosen = if (isPressed) allowed else allowed.filter { harm(it, partMs) == 0.0 }
-            val split = split(chosen.sortedBy { it.readWaitMs(nowMs) }, heads, parts) ?: continue
-            if (isPressed ||
-                split.firstEventMs + waitedMs <= LATE_SHARE * LEAVE_TARGETS * request.targetMs
-            ) {
-                return split
-            }
+            val ordered = free.sortedWith(compareBy({ harm(it, partMs) }, { it.strictWriters }))
+            val split = split(ordered, heads, parts) ?: continue
+            val isUseful = split.firstEventMs + waitedMs <= LATE_SHARE * LEAVE_TARGETS * request.targetMs
+            if (isUseful && harmOf(split) <= harmShare * weight) return split
         }
         return null
     }
@@ -227,11 +224,12 @@
 
         /** Others may lose this share of what the prompt is worth before it has to be pressed. */
         const val HARM_SHARE = 0.1
+        const val PRESSED_HARM_SHARE = 0.5
 
         /** Callers leave a stream that has not begun after this many targets. */
         const val LEAVE_TARGETS = 4.0
 
-        /** The parts of that time by which a late prompt has to begin, and after which it takes any engine. */
+        /** The parts of that time by which a late prompt has to begin, and after which it may harm others. */
         const val LATE_SHARE = 0.8
         const val LATE_WAIT_SHARE = 0.3
 
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
@@ -114,6 +114,10 @@
     @SerialName("failed")
     FAILED,
 
+    /** Silence for longer than expected; the upstream may be gone, or only busy. */
+    @SerialName("stalled")
+    STALLED,
+
     /** The upstream at the address is another one. */
     @SerialName("gone")
     GONE,
