Mend the build: stalls are handled by the placer

Change: the branch; the pace of an engine, which nothing learned, is gone. Result: PlacerSpec, EngineProfileSpec and RelaySpec pass.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -183,7 +183,7 @@
     private fun firstEventMs(
         load: UpstreamLoad,
         partMs: Double,
-    ) = load.readWaitMs(nowMs) + partMs * load.pace + load.passMs(profile) * PASSES_TO_FIRST + profile.stepMs
+    ) = load.readWaitMs(nowMs) + partMs + load.passMs(profile) * PASSES_TO_FIRST + profile.stepMs
 
     /** The reading that may be added on an engine before a pause between events there becomes too long. */
     private fun slackMs(load: UpstreamLoad): Double {
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -220,21 +220,10 @@
     ) {
         val firstByteMs = result.firstByteMs
         when (result.outcome) {
-            PlaceOutcome.FAILED, PlaceOutcome.GONE -> {
-                load.failed(nowMs)
-            }
-
-            PlaceOutcome.REFUSED -> {
-                load.refused(nowMs)
-            }
-
-            PlaceOutcome.DONE, PlaceOutcome.CANCELLED -> {
-                if (firstByteMs !=
-                    null
-                ) {
-                    load.answered(firstByteMs, null, nowMs)
-                }
-            }
+            PlaceOutcome.FAILED, PlaceOutcome.GONE -> load.failed(nowMs)
+            PlaceOutcome.STALLED -> load.stalled(nowMs)
+            PlaceOutcome.REFUSED -> load.refused(nowMs)
+            PlaceOutcome.DONE, PlaceOutcome.CANCELLED -> firstByteMs?.let { load.answered(it, nowMs) }
         }
     }
 
--- a/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
@@ -18,13 +18,10 @@
     var pausedUntilMs = 0L
         private set
     private var failures = 0
+    private var stalls = 0
     var answeredMs = Long.MIN_VALUE / 2
         private set
 
-    /** How much slower than its profile the upstream has been lately; 1 is as announced. */
-    var pace = 1.0
-        private set
-
     /** Time to the first byte of a plain application, learned. */
     var typicalMs = 0.0
         private set
@@ -48,7 +45,7 @@
 
     fun readWaitMs(nowMs: Long) = max(0.0, readDoneMs - nowMs)
 
-    fun passMs(profile: EngineProfile) = profile.passMs(running, memoryTokens) * pace
+    fun passMs(profile: EngineProfile) = profile.passMs(running, memoryTokens)
 
     fun isPaused(nowMs: Long) = nowMs < pausedUntilMs
 
@@ -64,7 +61,7 @@
         nowMs: Long,
     ) {
         jobs[request] = job
-        readDoneMs = max(readDoneMs, nowMs.toDouble()) + job.readMs * pace
+        readDoneMs = max(readDoneMs, nowMs.toDouble()) + job.readMs
         if (job.isHead) recentGrantsMs += nowMs
     }
 
@@ -77,17 +74,15 @@
         return job
     }
 
-    /** [ratio] is the seen time to the first byte over the predicted one. */
     fun answered(
         firstByteMs: Long,
-        ratio: Double?,
         nowMs: Long,
     ) {
         answeredMs = nowMs
         failures = 0
+        stalls = 0
         pausedUntilMs = 0
         typicalMs = if (typicalMs == 0.0) firstByteMs.toDouble() else typicalMs + WEIGHT * (firstByteMs - typicalMs)
-        if (ratio != null) pace = (pace + WEIGHT * (pace * ratio - pace)).coerceIn(1.0, MAX_PACE)
     }
 
     /** Each further failure doubles the pause, so that a dead upstream costs few attempts. */
@@ -97,6 +92,14 @@
         pausedUntilMs = max(pausedUntilMs, nowMs + pauseMs)
     }
 
+    /** Many requests may stall on a busy upstream at once, which must not take it out for long. */
+    fun stalled(nowMs: Long) {
+        if (isPaused(nowMs)) return
+        stalls++
+        val pauseMs = minOf(STALL_PAUSE_MS shl minOf(stalls - 1, MAX_DOUBLINGS), LONGEST_STALL_PAUSE_MS)
+        pausedUntilMs = nowMs + pauseMs
+    }
+
     /** The upstream had no room, so what is known of its load is too low; it gets a moment. */
     fun refused(nowMs: Long) {
         pausedUntilMs = max(pausedUntilMs, nowMs + REFUSED_PAUSE_MS)
@@ -118,8 +121,9 @@
         const val LONG_READ_MS = 110.0
         const val WINDOW_MS = 1_000L
         const val WEIGHT = 0.2
-        const val MAX_PACE = 10.0
         const val FIRST_PAUSE_MS = 400L
+        const val STALL_PAUSE_MS = 250L
+        const val LONGEST_STALL_PAUSE_MS = 2_000L
         const val REFUSED_PAUSE_MS = 100L
         const val LONGEST_PAUSE_MS = 5_000L
         const val MAX_DOUBLINGS = 4
--- a/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
@@ -34,5 +34,6 @@
     /** The upstream may have run the request, and its answer is lost or not to be trusted. */
     class Lost(
         reason: String,
-    ) : AttemptResult(PlaceOutcome.FAILED, reason)
+        isStalled: Boolean = false,
+    ) : AttemptResult(if (isStalled) PlaceOutcome.STALLED else PlaceOutcome.FAILED, reason)
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -354,9 +354,11 @@
         /** Sends beyond the route's limit when upstreams say that they have not run the request. */
         const val NOT_RUN_SENDS = 2
         const val SILENCE_FACTOR = 3L
-        const val STREAM_SILENCE_MS = 800L
+        const val STREAM_SILENCE_MS = 1_200L
         const val STREAM_MARGIN_MS = 400L
-        const val EVENT_SILENCE_MS = 900L
+
+        /** Callers leave after a gap of 2 s; an engine that reads a long prompt may pause for nearly as long. */
+        const val EVENT_SILENCE_MS = 1_400L
         const val PLAIN_SILENCE_MS = 100L
         const val PLAIN_SHARE = 0.45
     }
