--- a/net/src/main/kotlin/samphirechute/net/HttpServer.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -56,6 +56,10 @@
         listener = null
     }
 
+    /** Closes the connections on which no request is under way. */
+    fun closeIdle() =
+        connections.filter { it.pipeline().get(ServerConnection::class.java)?.isIdle ?: true }.forEach { it.close() }
+
     override fun close() {
         stopListening()
         connections.close()
--- a/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
@@ -36,6 +36,9 @@
     private var timeout: Subscription? = null
     private var isRefused = false
 
+    /** True while no request is being read or answered. */
+    val isIdle: Boolean get() = active == null && reading == null && waiting.isEmpty()
+
     override fun channelActive(context: ChannelHandlerContext) = armTimeout(context, limits.keepAliveMs)
 
     override fun channelRead0(
