Leave failure domains alone that cannot be reached, and let the last attempt wait

Change: after connect failures of two upstreams of one failure domain the way there is tried by one request a second; only an attempt that another may follow has a limit of its own. A start without configuration asks callers to come back after 1.5 s. Specs: PlacerSpec, RelaySpec pass.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
@@ -99,6 +99,8 @@
     val outcome: PlaceOutcome,
     /** From dispatch to the first byte; null when none came. */
     val firstByteMs: Long? = null,
+    /** The failure domain that the request was sent from. */
+    val from: FailureDomain? = null,
 )
 
 @Serializable
@@ -110,10 +112,14 @@
     @SerialName("refused")
     REFUSED,
 
-    /** No connection, a broken or wrong answer, or silence. */
+    /** A broken or wrong answer. */
     @SerialName("failed")
     FAILED,
 
+    /** No connection; the upstream or the way to it is gone. */
+    @SerialName("unreachable")
+    UNREACHABLE,
+
     /** Silence for longer than expected; the upstream may be gone, or only busy. */
     @SerialName("stalled")
     STALLED,
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -22,6 +22,7 @@
     private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
     private val pools = HashMap<ServiceName, PoolQueue>()
     private val placed = HashMap<RequestId, Placed>()
+    private val links = LinkHealth()
 
     fun setPools(profiles: List<PoolProfile>) {
         val services = profiles.map { it.service }.toSet()
@@ -167,8 +168,17 @@
                 it.upstream.service == request.service && it.upstream.isOpen && it.upstream.id !in request.excluded &&
                     !isAtColdLimit(it, profile, nowMs)
             }
-        val trusted = open.filter { !it.isPaused(nowMs) && !isDoubtful(it, nowMs) }
-        return trusted.ifEmpty { open }
+        val near =
+            open
+                .filter {
+                    !links.isCut(
+                        request.failureDomain,
+                        it.upstream.failureDomain,
+                        nowMs,
+                    )
+                }.ifEmpty { open }
+        val trusted = near.filter { !it.isPaused(nowMs) && !isDoubtful(it, nowMs) }
+        return trusted.ifEmpty { near }
     }
 
     private fun isDoubtful(
@@ -198,6 +208,7 @@
             val job = UpstreamLoad.Job(isHead, split.partMs, memory, gapMs, nowMs, split.firstEventMs, request.weight)
             load.add(request.request, job, nowMs)
         }
+        split.engines.forEach { links.used(request.failureDomain, it.upstream.failureDomain, nowMs) }
         val head =
             split.engines
                 .first()
@@ -220,10 +231,29 @@
     ) {
         val firstByteMs = result.firstByteMs
         when (result.outcome) {
-            PlaceOutcome.FAILED, PlaceOutcome.GONE -> load.failed(nowMs)
-            PlaceOutcome.STALLED -> load.stalled(nowMs)
-            PlaceOutcome.REFUSED -> load.refused(nowMs)
-            PlaceOutcome.DONE, PlaceOutcome.CANCELLED -> firstByteMs?.let { load.answered(it, nowMs) }
+            PlaceOutcome.FAILED, PlaceOutcome.GONE -> {
+                load.failed(nowMs)
+            }
+
+            PlaceOutcome.UNREACHABLE -> {
+                load.failed(nowMs)
+                result.from?.let { links.unreachable(it, load.upstream, nowMs) }
+            }
+
+            PlaceOutcome.STALLED -> {
+                load.stalled(nowMs)
+            }
+
+            PlaceOutcome.REFUSED -> {
+                load.refused(nowMs)
+            }
+
+            PlaceOutcome.DONE, PlaceOutcome.CANCELLED -> {
+                if (firstByteMs != null) {
+                    load.answered(firstByteMs, nowMs)
+                    result.from?.let { links.reached(it, load.upstream) }
+                }
+            }
         }
     }
 
--- a/routing/src/test/kotlin/samphirechute/routing/placing/PlacerSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacerSpec.kt
@@ -1,6 +1,7 @@
 package samphirechute.routing.placing
 
 import org.junit.jupiter.api.Nested
+import samphirechute.core.FailureDomain
 import samphirechute.core.UpstreamId
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -221,6 +222,31 @@
             assertEquals(UpstreamId("engine-0"), fixture.granted(fixture.short()).upstream)
         }
 
+        /** Guards against a connect timeout for each engine of a failure domain that is cut off. */
+        @Test
+        fun `those of a failure domain that cannot be reached are left alone once two have failed`() {
+            val fixture = PlacingFixture(engines = 9)
+            val domain = FailureDomain("domain-0")
+            listOf("engine-1", "engine-4").forEach { fixture.unreachable(UpstreamId(it)) }
+            fixture.nowMs += 600
+            val used =
+                (0 until 40).mapNotNull {
+                    fixture.nowMs += 5
+                    (fixture.place(fixture.short()) as? Placement.Granted)?.upstream?.value
+                }
+            assertTrue(used.none { it in setOf("engine-1", "engine-4", "engine-7") }, "used $used from $domain")
+        }
+
+        /** Guards against a way that stays closed after it has healed. */
+        @Test
+        fun `those of a failure domain that answers again are used again`() {
+            val fixture = PlacingFixture(engines = 2)
+            fixture.unreachable(UpstreamId("engine-1"))
+            fixture.unreachable(UpstreamId("engine-1"))
+            fixture.nowMs += 6_000
+            assertIs<Placement.Granted>(fixture.place(fixture.short(excluded = setOf(UpstreamId("engine-0")))))
+        }
+
         /** Guards the bound of a cold upstream, which may turn cold at any moment. */
         @Test
         fun `none gets more requests within a second than a cold one carries`() {
--- a/routing/src/test/kotlin/samphirechute/routing/placing/PlacingFixture.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacingFixture.kt
@@ -46,6 +46,14 @@
         outcome: PlaceOutcome = PlaceOutcome.DONE,
     ) = placer.ended(PlaceResult(request.request, upstream, outcome, 100), nowMs)
 
+    /** A request from the first failure domain found no connection to [upstream]. */
+    fun unreachable(upstream: UpstreamId) {
+        val request = short()
+        val result =
+            PlaceResult(request.request, upstream, PlaceOutcome.UNREACHABLE, null, FailureDomain("domain-0"))
+        placer.ended(result, nowMs)
+    }
+
     private fun request(
         promptTokens: Long,
         answerTokens: Long,
--- a/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
@@ -26,7 +26,7 @@
             when {
                 isGone -> PlaceOutcome.GONE
                 isConnected -> PlaceOutcome.REFUSED
-                else -> PlaceOutcome.FAILED
+                else -> PlaceOutcome.UNREACHABLE
             },
             reason,
         )
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
@@ -13,7 +13,7 @@
     data object MissingId : Refusal(400, "missing_request_id")
 
     /** No configuration is known yet. */
-    data object NotReady : Refusal(503, "not_ready", retryAfterMs = 500)
+    data object NotReady : Refusal(503, "not_ready", retryAfterMs = NOT_READY_RETRY_MS)
 
     class Busy(
         reason: String,
@@ -27,4 +27,9 @@
 
     /** The time is over, and an upstream may be at work. */
     data object TimedOut : Refusal(504, "timed_out")
+
+    private companion object {
+        /** A system that starts as a whole has elected a leader and told the configuration after about so long. */
+        const val NOT_READY_RETRY_MS = 1_500L
+    }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -116,7 +116,7 @@
 
     private fun giveBack(placement: Placement) {
         if (placement !is Placement.Granted) return
-        context.places.ended(PlaceResult(requestId, placement.upstream, PlaceOutcome.CANCELLED))
+        context.places.ended(placeResult(placement.upstream, PlaceOutcome.CANCELLED, null))
     }
 
     private fun dispatch(
@@ -170,7 +170,12 @@
     }
 
     private fun limits(granted: Placement.Granted): AttemptLimits {
-        if (!isRepeatable || !mayRunAgain()) return AttemptLimits(leftMs() + MIN_TARGET_MS, leftMs() + MIN_TARGET_MS)
+        // The last attempt may take all the time that is left.
+        if (!isRepeatable ||
+            runs + 1 >= route.maxAttempts
+        ) {
+            return AttemptLimits(leftMs() + MIN_TARGET_MS, leftMs() + MIN_TARGET_MS)
+        }
         val firstByteMs =
             if (route.isStream) {
                 max(STREAM_SILENCE_MS, SILENCE_FACTOR * granted.firstByteMs + STREAM_MARGIN_MS)
@@ -186,7 +191,7 @@
     ) {
         if (isDone) return
         val target = checkNotNull(upstream) { "an attempt ended that was never sent" }
-        context.places.ended(PlaceResult(requestId, target, result.outcome, ended.firstByteMs))
+        context.places.ended(placeResult(target, result.outcome, ended.firstByteMs))
         context.log.attempt(result.label)
         attempt = null
         memory?.release()
@@ -198,6 +203,12 @@
         }
     }
 
+    private fun placeResult(
+        target: UpstreamId,
+        outcome: PlaceOutcome,
+        firstByteMs: Long?,
+    ) = PlaceResult(requestId, target, outcome, firstByteMs, context.settings.failureDomain)
+
     private fun answered(
         target: UpstreamId,
         result: AttemptResult.Answered,
@@ -301,7 +312,7 @@
         if (current == null) return context.places.withdraw(requestId)
         current.cancel()
         memory?.release()
-        upstream?.let { context.places.ended(PlaceResult(requestId, it, outcome, current.firstByteMs)) }
+        upstream?.let { context.places.ended(placeResult(it, outcome, current.firstByteMs)) }
     }
 
     private fun answerWith(refusal: Refusal) {
