--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -108,10 +108,26 @@
         val read = answer
         finish(
             when {
-                read == null -> AttemptResult.Lost("empty_answer")
-                read.isMisdirected -> AttemptResult.NotRun("misdirected", isGone = true, isConnected = true)
-                read.isNotRun -> AttemptResult.NotRun("refused_${current.status}", isGone = false, isConnected = true)
-                else -> AttemptResult.Answered(current, body.toByteArray())
+                read == null -> {
+                    AttemptResult.Lost("empty_answer")
+                }
+
+                read.isMisdirected -> {
+                    AttemptResult.NotRun("misdirected", isGone = true, isConnected = true)
+                }
+
+                read.isNotRun -> {
+                    AttemptResult.NotRun(
+                        "refused_${current.status}",
+                        false,
+                        isConnected = true,
+                        read.atFault,
+                    )
+                }
+
+                else -> {
+                    AttemptResult.Answered(current, body.toByteArray())
+                }
             },
         )
     }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
@@ -1,5 +1,6 @@
 package samphirechute.serving.relay
 
+import samphirechute.core.UpstreamId
 import samphirechute.net.ResponseHead
 import samphirechute.routing.placing.PlaceOutcome
 
@@ -21,7 +22,9 @@
     class NotRun(
         reason: String,
         isGone: Boolean,
-        isConnected: Boolean,
+        val isConnected: Boolean,
+        /** A helper that the upstream could not use. */
+        val atFault: UpstreamId? = null,
     ) : AttemptResult(
             when {
                 isGone -> PlaceOutcome.GONE
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -198,7 +198,7 @@
         when (result) {
             is AttemptResult.Answered -> answered(target, result)
             is AttemptResult.StreamEnded -> streamEnded()
-            is AttemptResult.NotRun -> retry(target, result.label)
+            is AttemptResult.NotRun -> notRun(target, result)
             is AttemptResult.Lost -> lost(target, result.label)
         }
     }
@@ -240,6 +240,19 @@
         finish(OK, "answered")
     }
 
+    private fun notRun(
+        target: UpstreamId,
+        result: AttemptResult.NotRun,
+    ) {
+        result.atFault?.takeIf { it != target }?.let {
+            context.log.event("helper_failed", mapOf("request" to requestId, "upstream" to target, "helper" to it))
+            context.places.ended(placeResult(it, PlaceOutcome.UNREACHABLE, null))
+            excluded += it
+        }
+        // What never reached an upstream adds nothing to its load, so it needs no share of the budget.
+        retry(target, result.label, isFree = !result.isConnected)
+    }
+
     private fun lost(
         target: UpstreamId,
         reason: String,
@@ -253,10 +266,11 @@
     private fun retry(
         target: UpstreamId,
         reason: String,
+        isFree: Boolean = false,
     ) {
         excluded += target
         val isAllowed = sends < route.maxAttempts + NOT_RUN_SENDS && mayRunAgain() && leftMs() > MIN_LEFT_MS
-        if (!isAllowed || !context.budget.tryTake(context.timer.nowMs())) return giveUp(reason)
+        if (!isAllowed || !(isFree || context.budget.tryTake(context.timer.nowMs()))) return giveUp(reason)
         context.log.event("retrying", mapOf("request" to requestId, "upstream" to target, "reason" to reason))
         place()
     }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
@@ -75,6 +75,8 @@
     val isNotRun: Boolean,
     /** The address belongs to another upstream. */
     val isMisdirected: Boolean,
+    /** Another upstream that this one needed and could not use. */
+    val atFault: UpstreamId?,
     /** The body is not the upstream's own bytes. */
     val isEncoded: Boolean,
 )
