Give refusing and the limits of attempts files of their own

Cause: Placer.kt (311 lines) and Relay.kt (398) held several jobs; refusing is a decision of its own that says which load it answers. Change: Refusing.kt and AttemptLimits.kt, moved without a change of behaviour.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -44,14 +44,14 @@
         request: PlaceRequest,
         nowMs: Long,
     ): Placement? {
-        val pool = pools[request.service] ?: return refused(RefusedReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
+        val pool = pools[request.service] ?: return Refusing.noUpstream()
         val open = loads.values.filter { it.upstream.service == request.service && it.upstream.isOpen }
-        if (open.isEmpty()) return refused(RefusedReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS)
-        if (isTooLarge(pool, request)) return refused(RefusedReason.TOO_LARGE, TOO_LARGE_RETRY_MS)
+        if (open.isEmpty()) return Refusing.noUpstream()
+        if (Refusing.isTooLarge(pool.profile, request)) return Refusing.tooLarge()
         if (!pool.hasBefore(request)) tryPlace(pool, request, nowMs)?.let { return it }
         val waitMs = pool.expectedWaitMs(request, nowMs)
-        val patienceMs = patienceMs(request)
-        if (waitMs > patienceMs) return refused(RefusedReason.OVERLOADED, waitMs)
+        val patienceMs = Refusing.patienceMs(request)
+        if (waitMs > patienceMs) return Refusing.overloaded(waitMs)
         pool.add(request, nowMs + patienceMs, nowMs)
         return null
     }
@@ -104,7 +104,7 @@
     fun tick(nowMs: Long): List<Decision> {
         placed.values.filter { nowMs > it.untilMs }.forEach { free(it, nowMs) }
         return pools.values.flatMap { pool ->
-            val expired = pool.takeExpired(nowMs).map { Decision(it, refused(RefusedReason.EXPIRED, RETRY_MS)) }
+            val expired = pool.takeExpired(nowMs).map { Decision(it, Refusing.expired()) }
             expired + dispatch(pool, nowMs)
         }
     }
@@ -266,25 +266,6 @@
         return Placement.Granted(head.id, head.address, helpers, split.firstEventMs.toLong())
     }
 
-    private fun isTooLarge(
-        pool: PoolQueue,
-        request: PlaceRequest,
-    ): Boolean {
-        val memoryTokens = pool.profile.engine?.memoryTokens ?: return false
-        return request.promptTokens + request.answerTokens > memoryTokens * MAX_HOLDERS
-    }
-
-    /** Callers leave a stream that has not begun after two seconds or four times their target. */
-    private fun patienceMs(request: PlaceRequest): Long {
-        val leaveMs = maxOf(LEAVE_MS, LEAVE_TARGETS * request.targetMs, LEAVE_GAPS * (request.targetGapMs ?: 0))
-        return (minOf(leaveMs, request.deadlineMs) * PATIENCE_SHARE).toLong()
-    }
-
-    private fun refused(
-        reason: RefusedReason,
-        retryAfterMs: Long,
-    ) = Placement.Refused(reason, retryAfterMs.coerceIn(RETRY_MS, LONGEST_RETRY_MS))
-
     private class Placed(
         val request: PlaceRequest,
         val head: UpstreamId,
@@ -293,19 +274,8 @@
     )
 
     private companion object {
-        const val NO_UPSTREAM_RETRY_MS = 1_000L
-        const val TOO_LARGE_RETRY_MS = 3_000L
-        const val MAX_HOLDERS = 8
-        const val RETRY_MS = 300L
-        const val LONGEST_RETRY_MS = 3_000L
         const val TRUST_AFTER_ANSWER_MS = 2_000L
         const val END_GRACE_MS = 1_000L
         const val COLD_SHARE = 0.9
-        const val LEAVE_MS = 2_000L
-        const val LEAVE_TARGETS = 4L
-        const val LEAVE_GAPS = 8L
-
-        /** The rest of a caller's patience is left for reading the prompt. */
-        const val PATIENCE_SHARE = 0.7
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -210,9 +210,3 @@
         const val MAX_EVENT_BYTES = 1024 * 1024
     }
 }
-
-/** The silence after which an attempt is given up: before the first byte, and between events. */
-internal class AttemptLimits(
-    val firstByteMs: Long,
-    val nextEventMs: Long,
-)
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -147,7 +147,7 @@
                 exchange.request,
                 requestId,
                 this.takeIf { route.isStream },
-                limits(granted),
+                AttemptLimits.of(route, granted, leftMs(), isLast = !isRepeatable || runs + 1 >= route.maxAttempts),
                 ::attemptEnded,
             )
         attempt = next
@@ -169,22 +169,6 @@
         next.start(granted.address, dispatch, isOnce = !isRepeatable)
     }
 
-    private fun limits(granted: Placement.Granted): AttemptLimits {
-        // The last attempt may take all the time that is left.
-        if (!isRepeatable ||
-            runs + 1 >= route.maxAttempts
-        ) {
-            return AttemptLimits(leftMs() + MIN_TARGET_MS, leftMs() + MIN_TARGET_MS)
-        }
-        val firstByteMs =
-            if (route.isStream) {
-                max(STREAM_SILENCE_MS, SILENCE_FACTOR * granted.firstByteMs + STREAM_MARGIN_MS)
-            } else {
-                max(PLAIN_SILENCE_MS, (leftMs() * PLAIN_SHARE).toLong())
-            }
-        return AttemptLimits(firstByteMs, max(EVENT_SILENCE_MS, SILENCE_FACTOR * (route.targetGapMs ?: 0)))
-    }
-
     private fun attemptEnded(
         ended: Attempt,
         result: AttemptResult,
@@ -378,14 +362,6 @@
 
         /** Sends beyond the route's limit when upstreams say that they have not run the request. */
         const val NOT_RUN_SENDS = 2
-        const val SILENCE_FACTOR = 3L
-        const val STREAM_SILENCE_MS = 1_200L
-        const val STREAM_MARGIN_MS = 400L
-
-        /** Callers leave after a gap of 2 s; an engine that reads a long prompt may pause for nearly as long. */
-        const val EVENT_SILENCE_MS = 1_400L
-        const val PLAIN_SILENCE_MS = 100L
-        const val PLAIN_SHARE = 0.45
     }
 }
 
