--- a/serving/src/main/kotlin/samphirechute/serving/relay/HopHeaders.kt
+++ b/net/src/main/kotlin/samphirechute/net/HopHeaders.kt
@@ -1,10 +1,9 @@
-package samphirechute.serving.relay
-
-import samphirechute.net.HeaderField
+package samphirechute.net
 
 /** The headers that concern one connection only, and are never passed on. */
 object HopHeaders {
-    private val NAMES =
+    /** In lower case. */
+    val NAMES =
         setOf(
             "connection",
             "content-length",
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -4,6 +4,7 @@
 import samphirechute.core.UpstreamId
 import samphirechute.core.time.Subscription
 import samphirechute.net.Exchange
+import samphirechute.net.HopHeaders
 import samphirechute.net.ResponseHead
 import samphirechute.net.ResponseStream
 import samphirechute.routing.placing.PlaceOutcome
