Check the memory of long prompts apart from their reading

Change: 700,000 tokens, and the second prompt comes when all reading is done; a counterpart places it once the memory is free.

--- a/routing/src/test/kotlin/samphirechute/routing/placing/PlacerSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacerSpec.kt
@@ -113,9 +113,22 @@
         @Test
         fun `that no memory is left for wait or are refused`() {
             val fixture = PlacingFixture(engines = 3)
-            assertIs<Placement.Granted>(fixture.place(fixture.long(promptTokens = 600_000)))
-            val second = fixture.place(fixture.long(promptTokens = 900_000))
-            assertTrue(second == null || second is Placement.Refused)
+            assertIs<Placement.Granted>(fixture.place(fixture.long(promptTokens = 700_000)))
+            // All is read by now, so that only the memory that the first prompt still holds can be missing.
+            fixture.nowMs += 9_000
+            val second = fixture.place(fixture.long(promptTokens = 700_000))
+            assertTrue(second == null || second is Placement.Refused, "placed as $second")
+        }
+
+        /** The counterpart: the same prompt is placed once the memory is free. */
+        @Test
+        fun `are placed when the memory is free again`() {
+            val fixture = PlacingFixture(engines = 3)
+            val first = fixture.long(promptTokens = 700_000)
+            val granted = fixture.granted(first)
+            fixture.nowMs += 9_000
+            fixture.end(first, granted.upstream)
+            assertIs<Placement.Granted>(fixture.place(fixture.long(promptTokens = 700_000)))
         }
 
         @Test
