Let a successor count in place of a lost member within the time to catch up

A member was gone for good at second 18 and its successor joined at 19.3, but the lost one kept its vote for 9 s of silence. Ruled out: the successor's catch-up (done within 0.4 s), the read-back itself. Change: a silent voter is removed after 2.5 s when the number of voters is even, or when two are silent; users give a successor 6 s. The keeper moves to state/host, beside the log driver, so that it is tested on simulated members. Before: MembershipKeeperSpec.Successors failed on the old rule (4 voters, one of them dead). After: passes, with JoiningSpec.

--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
@@ -19,6 +19,7 @@
 import samphirechute.state.disk.NioFolder
 import samphirechute.state.disk.StoreDisk
 import samphirechute.state.host.LogDriver
+import samphirechute.state.host.MembershipKeeper
 import samphirechute.state.host.member
 import samphirechute.state.raft.ProposalOutcome
 import samphirechute.state.raft.RaftMessage
--- a/serving/src/main/kotlin/samphirechute/serving/control/MembershipKeeper.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/MembershipKeeper.kt
@@ -1,4 +1,4 @@
-package samphirechute.serving.control
+package samphirechute.state.host
 
 import samphirechute.core.OperationId
 import samphirechute.core.log.KeyValueLog
@@ -8,10 +8,10 @@
 
 /**
  * Keeps the membership of the store without an operator. An instance that asks to join is added; the log counts it only
- * after it has caught up. A voter that has been silent for long is removed when the number of voters is even: then one
- * fewer makes the majority smaller, while from an odd number nothing would be gained.
+ * after it has caught up. A silent voter is removed when the number of voters is even, as it is once a successor counts:
+ * then one fewer makes the majority smaller. From an odd number nothing would be gained before a second one is silent.
  */
-internal class MembershipKeeper(
+class MembershipKeeper(
     private val propose: (Command) -> Unit,
 ) {
     private var lastMs = Long.MIN_VALUE / 2
@@ -26,10 +26,15 @@
         val silent = node.silentMembers(SILENT_MS)
         when {
             candidate != null -> add(candidate, node)
-            silent.isNotEmpty() && node.members.size % 2 == 0 -> remove(silent.first(), node)
+            silent.isNotEmpty() && isMajoritySmallerWithout(silent.size, node) -> remove(silent.first(), node)
         }
     }
 
+    private fun isMajoritySmallerWithout(
+        silent: Int,
+        node: RaftNode,
+    ) = node.members.size % 2 == 0 || silent > 1
+
     private fun add(
         candidate: StoreMember,
         node: RaftNode,
@@ -56,8 +61,8 @@
     private companion object {
         const val EVERY_MS = 250L
 
-        /** Longer than a restart and a usual cut, after which the voter comes back by itself. */
-        const val SILENT_MS = 9_000L
+        /** Less than the 6 s after which a successor has to count in place of the one that it replaces. */
+        const val SILENT_MS = 2_500L
         val log = KeyValueLog("membership")
     }
 }
--- /dev/null
+++ b/state/src/test/kotlin/samphirechute/state/host/MembershipKeeperSpec.kt
@@ -0,0 +1,116 @@
+package samphirechute.state.host
+
+import org.junit.jupiter.api.Nested
+import samphirechute.core.InstanceId
+import samphirechute.state.command.Command
+import samphirechute.state.raft.ProposalOutcome
+import samphirechute.state.sim.SimCluster
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class MembershipKeeperSpec {
+    /** A store whose leader keeps the membership by itself. */
+    private class KeptStore(
+        names: List<String>,
+    ) {
+        val cluster = SimCluster(seed = 11, names = names)
+
+        init {
+            keep()
+            assertTrue(cluster.runUntil(3_000) { cluster.isSettled }, cluster.describe())
+        }
+
+        val voters get() =
+            cluster.leader
+                ?.raft
+                ?.members
+                .orEmpty()
+                .map { it.instance.value }
+                .toSet()
+
+        fun followers() = cluster.nodes.values.filter { it != cluster.leader && it.raft != null }
+
+        fun commits(): Boolean {
+            var isCommitted = false
+            val isLed = cluster.runUntil(RECOVER_MS) { cluster.leader?.raft?.isLeader == true }
+            val leading = cluster.leader
+            if (!isLed || leading == null) return false
+            val command = Command.AdoptConfig(1, "{}")
+            cluster.propose(leading, command) { isCommitted = it is ProposalOutcome.Committed }
+            return cluster.runUntil(RECOVER_MS) { isCommitted }
+        }
+
+        private fun keep() {
+            val leading = cluster.leader
+            val raft = leading?.raft
+            if (raft != null) {
+                MembershipKeeper { command -> cluster.propose(leading, command) }.tick(raft, cluster.timer.nowMs())
+            }
+            cluster.timer.after(KEEP_MS, ::keep)
+        }
+    }
+
+    @Nested
+    inner class Successors {
+        /** Guards against a member that is gone for good and still counts when the next disk is lost. */
+        @Test
+        fun `count in place of a member that is gone for good`() {
+            val store = KeptStore(listOf("a", "b", "c"))
+            val gone = store.followers().first()
+            gone.kill()
+            store.cluster.run(1_000)
+            val successor = store.cluster.addNode(InstanceId("d"))
+            store.cluster.run(CATCH_UP_MS)
+            assertEquals(setOf("a", "b", "c", "d") - gone.instance.value, store.voters, store.cluster.describe())
+
+            val wiped = store.followers().first { it != successor }
+            wiped.wipe()
+            assertTrue(store.commits(), store.cluster.describe())
+        }
+
+        @Test
+        fun `let two more be lost of six`() {
+            val store = KeptStore(listOf("a", "b", "c", "d", "e", "f"))
+            val gone = store.followers().take(2)
+            gone.forEach { it.kill() }
+            store.cluster.addNode(InstanceId("g"))
+            store.cluster.addNode(InstanceId("h"))
+            store.cluster.run(CATCH_UP_MS)
+
+            store.followers().take(2).forEach { it.kill() }
+            assertTrue(store.commits(), store.cluster.describe())
+        }
+    }
+
+    @Nested
+    inner class SilentMembers {
+        @Test
+        fun `keep their place while no other has come`() {
+            val store = KeptStore(listOf("a", "b", "c"))
+            store.followers().first().kill()
+            store.cluster.run(2 * CATCH_UP_MS)
+            assertEquals(setOf("a", "b", "c"), store.voters)
+        }
+
+        @Test
+        fun `that were replaced join again when they come back`() {
+            val store = KeptStore(listOf("a", "b", "c"))
+            val silent = store.followers().first()
+            silent.kill()
+            store.cluster.addNode(InstanceId("d"))
+            store.cluster.run(CATCH_UP_MS)
+            silent.start()
+            store.cluster.run(CATCH_UP_MS)
+            assertTrue(silent.instance.value in store.voters, store.cluster.describe())
+        }
+    }
+
+    private companion object {
+        const val KEEP_MS = 100L
+
+        /** The time within which a new member has to count, as the users' deployments set it. */
+        const val CATCH_UP_MS = 6_000L
+        const val RECOVER_MS = 5_000L
+    }
+}
