Serve sooner after a restart of the whole system, and tell a new coordinator everything

Change: an instance that starts keeps requests until the configuration comes, for 2 s after its start at most, and refuses at once after that; the first election after a start comes after 60 to 200 ms where reads are confirmed; a change of leader answers open questions; with a new coordinator an instance names all that it has running, and the rest of its places is freed.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -100,6 +100,22 @@
         placed.values.filter { isGone(it.request.instance) }.forEach { free(it, nowMs) }
     }
 
+    /**
+     * Frees what [instance] no longer has [running]. A coordinator that leads again knows requests that ended while
+     * another led. Answers under way may name requests that the instance does not know of yet.
+     */
+    fun retain(
+        instance: InstanceId,
+        running: Set<RequestId>,
+        nowMs: Long,
+    ) {
+        placed.values
+            .filter {
+                it.request.instance == instance && it.request.request !in running &&
+                    nowMs - it.placedMs > ANSWER_MS
+            }.forEach { free(it, nowMs) }
+    }
+
     /** Dispatches what has room by now, refuses what waited too long, and forgets what was never reported as ended. */
     fun tick(nowMs: Long): List<Decision> {
         placed.values.filter { nowMs > it.untilMs }.forEach { free(it, nowMs) }
@@ -213,7 +229,7 @@
             split.engines
                 .first()
                 .upstream.id
-        placed[request.request] = Placed(request, head, split.engines, nowMs + request.deadlineMs + END_GRACE_MS)
+        placed[request.request] = Placed(request, head, split.engines, nowMs, nowMs + request.deadlineMs + END_GRACE_MS)
     }
 
     private fun free(
@@ -270,12 +286,16 @@
         val request: PlaceRequest,
         val head: UpstreamId,
         val engines: List<UpstreamLoad>,
+        val placedMs: Long,
         val untilMs: Long,
     )
 
     private companion object {
         const val TRUST_AFTER_ANSWER_MS = 2_000L
         const val END_GRACE_MS = 1_000L
+
+        /** Longer than an answer to a placement is under way. */
+        const val ANSWER_MS = 500L
         const val COLD_SHARE = 0.9
     }
 }
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/CoordinatorChangeSpec.kt
@@ -0,0 +1,50 @@
+package samphirechute.routing.placing
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class CoordinatorChangeSpec {
+    private fun PlacingFixture.retain(running: List<PlaceRequest>) =
+        placer.retain(PlacingFixture.INSTANCE, running.map { it.request }.toSet(), nowMs)
+
+    @Nested
+    inner class ACoordinatorThatLeadsAgain {
+        /** Guards against places that stay taken because their ends were told to another coordinator. */
+        @Test
+        fun `frees what its instances no longer run`() {
+            val fixture = PlacingFixture(engines = 1)
+            val running = fixture.short()
+            val ended = fixture.short()
+            val engine = fixture.granted(running).upstream
+            fixture.nowMs += 100
+            fixture.granted(ended)
+            fixture.nowMs += 1_000
+            fixture.retain(listOf(running))
+            assertEquals(1, fixture.placer.placedOn(engine))
+        }
+
+        /** Guards against a place that is given twice, since the instance has not heard of the first grant yet. */
+        @Test
+        fun `keeps what it has just granted`() {
+            val fixture = PlacingFixture(engines = 1)
+            val engine = fixture.granted(fixture.short()).upstream
+            fixture.nowMs += 10
+            fixture.retain(emptyList())
+            assertEquals(1, fixture.placer.placedOn(engine))
+        }
+    }
+
+    @Nested
+    inner class InstancesThatAreGone {
+        @Test
+        fun `leave their places to others`() {
+            val fixture = PlacingFixture(engines = 1)
+            val engine = fixture.granted(fixture.short()).upstream
+            fixture.placer.forget({ false }, fixture.nowMs)
+            assertEquals(1, fixture.placer.placedOn(engine))
+            fixture.placer.forget({ it == PlacingFixture.INSTANCE }, fixture.nowMs)
+            assertEquals(0, fixture.placer.placedOn(engine))
+        }
+    }
+}
--- a/routing/src/test/kotlin/samphirechute/routing/placing/PlacingFixture.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacingFixture.kt
@@ -63,7 +63,7 @@
         deadlineMs: Long = 10_000,
     ) = PlaceRequest(
         RequestId("r-${nextRequest++}"),
-        InstanceId("127.0.0.1:1"),
+        INSTANCE,
         FailureDomain("domain-0"),
         SERVICE,
         promptTokens = promptTokens,
@@ -85,6 +85,7 @@
 
     companion object {
         const val SLOTS = 11
+        val INSTANCE = InstanceId("127.0.0.1:1")
         const val COLD_PER_S = 38.0
         private const val DOMAINS = 3
         val SERVICE = ServiceName("drafts")
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -54,6 +54,8 @@
     /** The life of the control instance that [recordsVersion] belongs to. */
     val life: Long,
     val recordsVersion: Long,
+    /** The leader that the control instance named last while it was in touch with it. */
+    val leader: InstanceId? = null,
 )
 
 @Serializable
@@ -90,12 +92,15 @@
     val coordinator: InstanceId? = null,
 )
 
-/** Requests that have ended, that an instance has placed itself, and that no longer wait. */
+/** Requests of the instance [from] that have ended, that it has placed itself, and that no longer wait. */
 @Serializable
 data class PlaceEnds(
+    val from: InstanceId,
     val results: List<PlaceResult> = emptyList(),
     val own: List<OwnPlacement> = emptyList(),
     val withdrawn: List<RequestId> = emptyList(),
+    /** True when [own] names everything that the instance has running, as it does for a new coordinator. */
+    val isWhole: Boolean = false,
 )
 
 @Serializable
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -39,6 +39,8 @@
     var leader: InstanceId? = null
         private set
 
+    var onLeaderChanged: () -> Unit = {}
+
     /** True once an instance that is in touch with a majority has answered. */
     var isConfirmed = false
         private set
@@ -65,11 +67,12 @@
         reply: WatchReply,
     ) {
         if (reply.isCurrent) {
+            entries = maxOf(1, reply.entries)
             if (reply.leader != leader) {
                 log.event("leader_changed", mapOf("leader" to reply.leader, "from" to link.instance))
                 leader = reply.leader
+                onLeaderChanged()
             }
-            entries = maxOf(1, reply.entries)
         }
         reply.config?.let { if (it.revision > sink.revision) sink.configured(it) }
         reply.drains?.let { if (it.version > sink.drainVersion) sink.drained(it) }
@@ -85,11 +88,20 @@
         var isUp = false
         private var life = 0L
         private var recordsVersion = 0L
+        private var saidLeader: InstanceId? = null
         private var failures = 0
 
         fun ask() {
             val request =
-                WatchRequest(settings.instance, isEntry, sink.revision, sink.drainVersion, life, recordsVersion)
+                WatchRequest(
+                    settings.instance,
+                    isEntry,
+                    sink.revision,
+                    sink.drainVersion,
+                    life,
+                    recordsVersion,
+                    saidLeader,
+                )
             client.call(address, ClusterRoutes.watch, request, TIMEOUT_MS) { it.fold(::answered, ::failed) }
         }
 
@@ -99,6 +111,7 @@
             failures = 0
             life = reply.life
             recordsVersion = reply.recordsVersion
+            saidLeader = reply.leader.takeIf { reply.isCurrent }
             heard(this, reply)
             timer.after(PAUSE_MS) { ask() }
         }
--- a/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
@@ -36,6 +36,7 @@
         api.on(ClusterRoutes.ends) { message, exchange ->
             exchange.answer(Unit)
             val nowMs = timer.nowMs()
+            if (message.isWhole) placer.retain(message.from, message.own.map { it.request.request }.toSet(), nowMs)
             message.own.forEach { placer.adopt(it.request, it.upstream, nowMs) }
             message.results.forEach { decide(placer.ended(it, nowMs)) }
             message.withdrawn.forEach(::withdraw)
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
@@ -24,6 +24,7 @@
 import samphirechute.state.raft.ProposalOutcome
 import samphirechute.state.raft.RaftMessage
 import samphirechute.state.raft.RaftNode
+import samphirechute.state.raft.RaftTimings
 import samphirechute.state.store.AdoptedConfig
 import samphirechute.state.store.StoreState
 import java.util.UUID
@@ -51,6 +52,7 @@
                 disk.restored,
                 Random.Default,
                 timer.nowMs(),
+                RaftTimings(hasLeaseReads = false),
                 mayFound = mayFound(),
             )
         }
@@ -73,6 +75,7 @@
     fun start() {
         driver.onApplied = { onChanged() }
         driver.onInstalled = { onChanged() }
+        driver.onLeaderChanged = { onChanged() }
         driver.onLeadership = { term, isLeading ->
             log.event(if (isLeading) "leadership_gained" else "leadership_lost", mapOf("term" to term))
         }
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
@@ -76,6 +76,7 @@
 
     private fun isNews(request: WatchRequest) =
         request.life != life || request.recordsVersion < registrar.table.version ||
+            (store.isInTouch && request.leader != store.leader) ||
             request.revision < (store.state.adopted?.revision ?: 0) || request.drainVersion < store.state.drainVersion
 
     private fun reply(request: WatchRequest): WatchReply {
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -38,7 +38,7 @@
     private val view = UpstreamView(reader, timer, placer)
     private val table = UpstreamTable()
     private val watcher = Watcher(settings, timer, peerClient, isEntry = true, Sink())
-    private val places = PlaceClient(timer, peerClient, watcher, placer)
+    private val places = PlaceClient(settings.instance, timer, peerClient, watcher, placer)
     private val budget = RetryBudget { settings.retryFloor / watcher.entries }
     private val desk =
         RequestDesk(
--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
@@ -25,6 +25,7 @@
  * under way; so no second is without service, and the coordinator is told of them afterwards.
  */
 class PlaceClient(
+    private val self: InstanceId,
     private val timer: TimerService,
     private val client: PeerClient,
     private val watcher: Watcher,
@@ -34,12 +35,14 @@
     private val running = LinkedHashMap<RequestId, OwnPlacement>()
     private val results = ArrayList<PlaceResult>()
     private val withdrawn = ArrayList<RequestId>()
-    private var own = ArrayList<OwnPlacement>()
+    private val own = ArrayList<OwnPlacement>()
+    private var isWholeDue = false
     private var isFlushDue = false
     private var avoidUntilMs = Long.MIN_VALUE / 2
     private var lastCoordinator: InstanceId? = null
 
     fun start() {
+        watcher.onLeaderChanged = { coordinator()?.let(::noteCoordinator) }
         timer.every(TICK_MS) { answerLocal(local.tick(timer.nowMs())) }
     }
 
@@ -180,7 +183,7 @@
             mapOf("from" to lastCoordinator, "to" to coordinator, "running" to running.size),
         )
         lastCoordinator = coordinator
-        own = ArrayList(running.values)
+        isWholeDue = true
         flushSoon()
     }
 
@@ -195,7 +198,8 @@
 
     private fun flush() {
         val address = (lastCoordinator ?: coordinator())?.address ?: return drop()
-        val message = PlaceEnds(results.toList(), own.toList(), withdrawn.toList())
+        val placed = if (isWholeDue) running.values.toList() else own.toList()
+        val message = PlaceEnds(self, results.toList(), placed, withdrawn.toList(), isWholeDue)
         drop()
         client.call(address, ClusterRoutes.ends, message, ASK_TIMEOUT_MS) { result ->
             result.fold({ }) { sendAgain(message) }
@@ -210,12 +214,14 @@
         }
         results += message.results
         withdrawn += message.withdrawn
+        isWholeDue = isWholeDue || message.isWhole
         timer.after(AVOID_MS) { flushSoon() }
     }
 
     private fun drop() {
         results.clear()
         own.clear()
+        isWholeDue = false
         withdrawn.clear()
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
@@ -29,7 +29,7 @@
     data object TimedOut : Refusal(504, "timed_out")
 
     private companion object {
-        /** A system that starts as a whole has elected a leader and told the configuration after about so long. */
-        const val NOT_READY_RETRY_MS = 1_500L
+        /** Another instance may know the configuration by then. */
+        const val NOT_READY_RETRY_MS = 1_000L
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -26,15 +26,15 @@
     private val exchange: Exchange,
     private val caller: CallerRequest,
     private val accepted: Accepted,
+    private val arrivedMs: Long,
     private val onEnd: () -> Unit,
 ) : EventSink {
     private val route = accepted.route
     private val requestId = checkNotNull(caller.id) { "a request without an identifier was accepted" }
-    private val arrivedMs = context.timer.nowMs()
     private val untilMs = arrivedMs + min(caller.deadlineMs ?: Long.MAX_VALUE / 4, route.timeoutMs)
     private val isRepeatable = route.repeatability == Repeatability.REPEATABLE
     private val excluded = LinkedHashSet<UpstreamId>()
-    private val timeout: Subscription = context.timer.after(untilMs - arrivedMs) { timedOut() }
+    private val timeout: Subscription = context.timer.after(leftMs()) { timedOut() }
     private var attempt: Attempt? = null
     private var memory: MemoryHold? = null
     private var upstream: UpstreamId? = null
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestDesk.kt
@@ -1,16 +1,23 @@
 package samphirechute.serving.relay
 
+import samphirechute.core.time.Subscription
 import samphirechute.net.Exchange
 import samphirechute.serving.cluster.Route
 import samphirechute.serving.cluster.ServingConfig
 import samphirechute.serving.cluster.Team
 import kotlin.random.Random
 
-/** Takes requests of callers: finds the route and the team of each, refuses what has none, and relays the rest. */
+/**
+ * Takes requests of callers: finds the route and the team of each, refuses what has none, and relays the rest. Those that
+ * arrive while the process starts wait a moment for the configuration, since most callers come back only once.
+ */
 internal class RequestDesk(
     private val context: RelayContext,
     private val random: Random = Random.Default,
 ) {
+    private val timer = context.timer
+    private val startingUntilMs = timer.nowMs() + STARTING_MS
+    private val held = LinkedHashMap<Exchange, Held>()
     private var table: RouteTable? = null
 
     /** Requests that have no final answer yet. */
@@ -19,12 +26,23 @@
 
     fun configured(config: ServingConfig) {
         table = RouteTable(config)
+        val waiting = held.toMap()
+        held.clear()
+        waiting.forEach { (exchange, since) ->
+            since.timeout.cancel()
+            handle(exchange, since.arrivedMs)
+        }
     }
 
-    fun handle(exchange: Exchange) {
+    fun handle(exchange: Exchange) = handle(exchange, timer.nowMs())
+
+    private fun handle(
+        exchange: Exchange,
+        arrivedMs: Long,
+    ) {
         val request = exchange.request
         val caller = context.protocol.read(request)
-        val current = table ?: return refuse(exchange, caller, Refusal.NotReady)
+        val current = table ?: return hold(exchange, caller, arrivedMs)
         val route = current.find(caller.host, request.path) ?: return refuse(exchange, caller, Refusal.NoRoute)
         if (caller.id == null) return refuse(exchange, caller, Refusal.MissingId)
         val team = caller.key?.let { current.config.teamsByKey[it] }
@@ -33,7 +51,26 @@
         }
         running++
         val accepted = accept(current, route, team)
-        Relay(context, exchange, caller, accepted) { running-- }.start()
+        Relay(context, exchange, caller, accepted, arrivedMs) { running-- }.start()
+    }
+
+    private fun hold(
+        exchange: Exchange,
+        caller: CallerRequest,
+        arrivedMs: Long,
+    ) {
+        val leftMs = startingUntilMs - arrivedMs
+        if (leftMs <= 0 || held.size >= MAX_HELD) return refuse(exchange, caller, Refusal.NotReady)
+        val timeout =
+            timer.after(leftMs) {
+                held -= exchange
+                refuse(exchange, caller, Refusal.NotReady)
+            }
+        held[exchange] = Held(arrivedMs, timeout)
+        exchange.onAborted = {
+            timeout.cancel()
+            held -= exchange
+        }
     }
 
     private fun accept(
@@ -64,4 +101,15 @@
         )
         exchange.answerWith(refusal)
     }
+
+    private class Held(
+        val arrivedMs: Long,
+        val timeout: Subscription,
+    )
+
+    private companion object {
+        /** A system that starts as a whole elects a leader and learns the configuration within this time. */
+        const val STARTING_MS = 2_000L
+        const val MAX_HELD = 64
+    }
 }
--- a/state/src/main/kotlin/samphirechute/state/host/LogDriver.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/LogDriver.kt
@@ -33,6 +33,7 @@
     private val reads = HashMap<Long, (StoreState?) -> Unit>()
     private var lastToken = 0L
     private var isCurrent = false
+    private var leader: InstanceId? = null
 
     var onApplied: (List<AppliedEntry>) -> Unit = {}
     var onInstalled: () -> Unit = {}
@@ -43,6 +44,9 @@
     /** Called with the term when this member becomes leader, and when it is one no longer. */
     var onLeadership: (term: Long, isLeading: Boolean) -> Unit = { _, _ -> }
 
+    /** Called when this member follows another leader, or none. */
+    var onLeaderChanged: () -> Unit = {}
+
     /** Called when the disk failed, after which this member does nothing more. */
     var onStopped: (reason: String) -> Unit = {}
 
@@ -73,12 +77,20 @@
 
     private fun feed(input: RaftInput) {
         node.handle(input, timer.nowMs()).forEach(::execute)
+        noticeLeader()
         val isNow = node.readableState(timer.nowMs()) != null
         if (isNow == isCurrent) return
         isCurrent = isNow
         onCurrencyChanged(isNow)
     }
 
+    private fun noticeLeader() {
+        val next = node.leader?.instance
+        if (next == leader) return
+        leader = next
+        onLeaderChanged()
+    }
+
     private fun execute(output: RaftOutput) {
         when (output) {
             is RaftOutput.Send -> onSend(output.to, output.message)
--- a/state/src/main/kotlin/samphirechute/state/raft/Election.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Election.kt
@@ -16,7 +16,7 @@
     private val isLeading: () -> Boolean,
 ) {
     private var campaign: Campaign? = null
-    private var dueMs = member.nowMs + member.electionTimeoutMs()
+    private var dueMs = member.nowMs + member.firstElectionMs()
 
     /** Starts the wait for an election anew, after word from a leader or a vote given. */
     fun postpone() {
--- a/state/src/main/kotlin/samphirechute/state/raft/Member.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Member.kt
@@ -32,7 +32,7 @@
     var leader: DiskIdentity? = null
 
     /** A member that has just started may have heard from a leader right before, and must honour its lease. */
-    var lastHeardMs = startMs
+    var lastHeardMs = if (timings.hasLeaseReads) startMs else startMs - timings.electionMinMs
     var failure: String? = null
     private var outputs = ArrayList<RaftOutput>()
 
@@ -72,6 +72,13 @@
 
     fun electionTimeoutMs() = random.nextLong(timings.electionMinMs, timings.electionMaxMs + 1)
 
+    fun firstElectionMs() =
+        if (timings.hasLeaseReads) {
+            electionTimeoutMs()
+        } else {
+            random.nextLong(timings.firstElectionMinMs, timings.firstElectionMaxMs + 1)
+        }
+
     fun save(next: HardState) {
         if (next == hardState) return
         hardState = next
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
@@ -8,6 +8,14 @@
     val heartbeatMs: Long = 100,
     val electionMinMs: Long = 300,
     val electionMaxMs: Long = 600,
+    /**
+     * False where every read is confirmed by a majority. No lease can then outlive the restart of the voters that
+     * granted it, so a member that has just started need not wait for one to end.
+     */
+    val hasLeaseReads: Boolean = true,
+    /** The first election of a member that has started where no lease binds it. */
+    val firstElectionMinMs: Long = 60,
+    val firstElectionMaxMs: Long = 200,
     /** Wait before an election that got no majority is tried again. */
     val retryMinMs: Long = 50,
     val retryMaxMs: Long = 200,
