Place retried prompts by how long their callers have waited

Change: a request tells its whole target, how long its caller has waited and whether the answer has begun; patience is reckoned in one place; one that has begun is carried on at once or refused; medium prompts are packed; placers beside others keep to the failure domain. The spec on spreading counts the engines of one failure domain now, six as before. Spec: RetriedPromptSpec.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -25,6 +25,7 @@
     private val request: PlaceRequest,
     private val nowMs: Long,
     private val spreadBy: Int?,
+    /** How long the caller has waited so far. */
     private val waitedMs: Long = 0,
 ) {
     private val readMs = profile.readMs(request.promptTokens)
@@ -45,7 +46,8 @@
 
     /** The fullest engine on which neither this request nor those beside it have to pause for too long. */
     private fun chooseShort(heads: List<UpstreamLoad>): EngineSplit {
-        val safe = heads.filter { slackMs(it) >= readMs && firstEventMs(it, readMs) <= TARGET_SHARE * request.targetMs }
+        val leftMs = TARGET_SHARE * request.targetMs - waitedMs
+        val safe = heads.filter { slackMs(it) >= readMs && firstEventMs(it, readMs) <= leftMs }
         val chosen = safe.maxByOrNull(::packingRank) ?: heads.minBy { firstEventMs(it, readMs) }
         return EngineSplit(listOf(chosen), readMs, firstEventMs(chosen, readMs))
     }
@@ -70,6 +72,7 @@
      */
     private fun chooseLong(heads: List<UpstreamLoad>): EngineSplit? {
         val free = helpers.filter { it.readWaitMs(nowMs) <= FREE_READ_MS }
+        if (request.hasBegun) return chooseLate(free, heads)
         val leftMs = TARGET_SHARE_LONG * request.targetMs - waitedMs
         val split = cheapest(free, heads, leftMs)
         if (split != null) {
@@ -95,7 +98,10 @@
             val inTime = free.filter { firstEventMs(it, partMs) <= leftMs }
             if (inTime.size < parts) continue
             val harms = inTime.associateWith { harm(it, partMs) }
-            val ordered = inTime.sortedWith(compareBy({ harms.getValue(it) }, { it.strictWriters }))
+            val ordered =
+                inTime.sortedWith(
+                    compareBy({ harms.getValue(it) }, { it.strictWriters }, { packing(it, wanted) }),
+                )
             val split = split(ordered, heads, parts) ?: continue
             val cost = harmOf(split) + PART_COST * abs(parts - wanted)
             if (cost >= bestCost) continue
@@ -105,18 +111,24 @@
         return best
     }
 
+    /** Prompts that one engine reads in time are packed like short ones, which leaves whole engines to longer ones. */
+    private fun packing(
+        load: UpstreamLoad,
+        wantedParts: Int,
+    ) = if (wantedParts == 1 && spreadBy == null) -load.running else 0
+
     /** For a prompt that cannot be in time any more: the engines on which it harms nobody, if it may wait for them. */
     private fun chooseLate(
         free: List<UpstreamLoad>,
         heads: List<UpstreamLoad>,
     ): EngineSplit? {
-        val isPressed = waitedMs > LATE_WAIT_SHARE * LEAVE_TARGETS * request.targetMs
+        val isPressed = request.hasBegun || waitedMs > LATE_WAIT_SHARE * request.leaveMs
         val harmShare = if (isPressed) PRESSED_HARM_SHARE else 0.0
         for (parts in minOf(MAX_PARTS, free.size, openReaders()) downTo 1) {
             val partMs = readMs / parts
             val ordered = free.sortedWith(compareBy({ harm(it, partMs) }, { it.strictWriters }))
             val split = split(ordered, heads, parts) ?: continue
-            val isUseful = split.firstEventMs + waitedMs <= LATE_SHARE * LEAVE_TARGETS * request.targetMs
+            val isUseful = split.firstEventMs + waitedMs <= LATE_SHARE * request.leaveMs
             if (isUseful && harmOf(split) <= harmShare * weight) return split
         }
         return null
@@ -226,10 +238,7 @@
         const val HARM_SHARE = 0.1
         const val PRESSED_HARM_SHARE = 0.5
 
-        /** Callers leave a stream that has not begun after this many targets. */
-        const val LEAVE_TARGETS = 4.0
-
-        /** The parts of that time by which a late prompt has to begin, and after which it may harm others. */
+        /** The parts of a caller's patience by which a late prompt has to begin, and after which it may harm others. */
         const val LATE_SHARE = 0.8
         const val LATE_WAIT_SHARE = 0.3
 
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
@@ -30,12 +30,28 @@
     val deadlineMs: Long,
     /** Upstreams that have failed this request. */
     val excluded: Set<UpstreamId> = emptySet(),
+    /** How long the caller has waited so far: since the last event when the answer has begun, else since the request. */
+    val elapsedMs: Long = 0,
+    /** True when the caller has a part of the answer, which another upstream is to carry on. */
+    val hasBegun: Boolean = false,
 ) {
     /** What is lost when this request is late; longer prompts ask for more work and are worth more. */
     val weight: Double get() = 1 + promptTokens / TOKENS_PER_WEIGHT
 
+    /** Callers leave when they have waited for so long. */
+    val leaveMs: Long
+        get() {
+            val forGapMs = LEAVE_GAPS * (targetGapMs ?: 0)
+            return if (hasBegun) maxOf(LEAVE_MS, forGapMs) else maxOf(LEAVE_MS, forGapMs, LEAVE_TARGETS * targetMs)
+        }
+
     companion object {
         const val DEFAULT_PRIORITY = 5
+
+        /** Callers leave after 2 s without an event, four targets or eight pauses, whichever is longest. */
+        private const val LEAVE_MS = 2_000L
+        private const val LEAVE_TARGETS = 4L
+        private const val LEAVE_GAPS = 8L
         private const val TOKENS_PER_WEIGHT = 10_000.0
     }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -19,6 +19,11 @@
     /** When set, requests are spread instead of packed: several placers that know nothing of each other would all pack the same engine. */
     private val spreadBy: Int? = null,
 ) {
+    /**
+     * True while other placers work beside this one, as they do without a leader. Requests then stay in their failure
+     * domain if it has upstreams: fewer placers share each of them, and none lies behind a cut.
+     */
+    var isBesideOthers = spreadBy != null
     private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
     private val pools = HashMap<ServiceName, PoolQueue>()
     private val placed = HashMap<RequestId, Placed>()
@@ -51,6 +56,7 @@
         if (!pool.hasBefore(request)) tryPlace(pool, request, nowMs)?.let { return it }
         val waitMs = pool.expectedWaitMs(request, nowMs)
         val patienceMs = Refusing.patienceMs(request)
+        if (patienceMs == 0L) return Refusing.expired()
         if (waitMs > patienceMs) return Refusing.overloaded(waitMs)
         pool.add(request, nowMs + patienceMs, nowMs)
         return null
@@ -151,7 +157,7 @@
         val candidates = candidates(pool.profile, request, nowMs)
         val engine = pool.profile.engine
         if (engine == null) return placePlain(candidates, request, nowMs)
-        val waitedMs = pool.waitedMs(request.request, nowMs)
+        val waitedMs = request.elapsedMs + pool.waitedMs(request.request, nowMs)
         val split = EngineChoice(engine, candidates, request, nowMs, spreadBy, waitedMs).choose() ?: return null
         record(request, split, nowMs)
         return granted(split)
@@ -184,15 +190,12 @@
                 it.upstream.service == request.service && it.upstream.isOpen && it.upstream.id !in request.excluded &&
                     !isAtColdLimit(it, profile, nowMs)
             }
-        val near =
+        val reached =
             open
-                .filter {
-                    !links.isCut(
-                        request.failureDomain,
-                        it.upstream.failureDomain,
-                        nowMs,
-                    )
-                }.ifEmpty { open }
+                .filter { !links.isCut(request.failureDomain, it.upstream.failureDomain, nowMs) }
+                .ifEmpty { open }
+        val own = if (isBesideOthers) reached.filter { it.upstream.failureDomain == request.failureDomain } else reached
+        val near = own.ifEmpty { reached }
         val trusted = near.filter { !it.isPaused(nowMs) && !isDoubtful(it, nowMs) }
         return trusted.ifEmpty { near }
     }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Refusing.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Refusing.kt
@@ -14,11 +14,6 @@
     /** Engines that may hold parts of one prompt. */
     private const val MAX_HOLDERS = 8
 
-    /** Callers leave a stream that has not begun after 2 s, four targets or eight pauses, whichever is longest. */
-    private const val LEAVE_MS = 2_000L
-    private const val LEAVE_TARGETS = 4L
-    private const val LEAVE_GAPS = 8L
-
     /** The rest of a caller's patience is left for reading the prompt. */
     private const val PATIENCE_SHARE = 0.7
 
@@ -39,10 +34,10 @@
         return request.promptTokens + request.answerTokens > memoryTokens * MAX_HOLDERS
     }
 
-    /** How long a request may wait for an upstream. */
+    /** How much longer a request may wait for an upstream. */
     fun patienceMs(request: PlaceRequest): Long {
-        val leaveMs = maxOf(LEAVE_MS, LEAVE_TARGETS * request.targetMs, LEAVE_GAPS * (request.targetGapMs ?: 0))
-        return (minOf(leaveMs, request.deadlineMs) * PATIENCE_SHARE).toLong()
+        val untilLeavingMs = (request.leaveMs * PATIENCE_SHARE).toLong() - request.elapsedMs
+        return minOf(untilLeavingMs, (request.deadlineMs * PATIENCE_SHARE).toLong()).coerceAtLeast(0)
     }
 
     private fun refused(
--- a/routing/src/test/kotlin/samphirechute/routing/placing/PlacerSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacerSpec.kt
@@ -47,10 +47,10 @@
             assertEquals(setOf(PlacingFixture.SLOTS), counts.values.toSet())
         }
 
-        /** Guards against all instances choosing the same engine while each places by itself. */
+        /** Guards against all instances choosing the same engine of their failure domain while each places by itself. */
         @Test
         fun `are spread by placers that do not know of each other`() {
-            val fixture = PlacingFixture(engines = 6, spreadBy = 7)
+            val fixture = PlacingFixture(engines = 18, spreadBy = 7)
             val used =
                 (0 until 6)
                     .map {
--- /dev/null
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/RetriedPromptSpec.kt
@@ -0,0 +1,75 @@
+package samphirechute.routing.placing
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** The load is an upstream that loses answers or goes away, so that requests come again when their target has passed. */
+class RetriedPromptSpec {
+    private fun PlacingFixture.place(
+        request: PlaceRequest,
+        elapsedMs: Long,
+        hasBegun: Boolean = false,
+    ) = placer.place(request.copy(elapsedMs = elapsedMs, hasBegun = hasBegun), nowMs)
+
+    @Nested
+    inner class LongPrompts {
+        /** Guards against a queue that holds a retried prompt until its caller leaves, while engines are free. */
+        @Test
+        fun `whose target has passed are placed at once on free engines`() {
+            val fixture = PlacingFixture(engines = 8)
+            val granted = assertIs<Placement.Granted>(fixture.place(fixture.long(), elapsedMs = 4_000))
+            assertTrue(granted.firstByteMs + 4_000 < fixture.long().leaveMs)
+        }
+
+        @Test
+        fun `whose answer has begun are carried on at once, also beside others`() {
+            val fixture = PlacingFixture(engines = 8)
+            repeat(4) {
+                fixture.nowMs += 500
+                fixture.granted(fixture.medium())
+            }
+            assertIs<Placement.Granted>(fixture.place(fixture.long(), elapsedMs = 1_400, hasBegun = true))
+        }
+
+        @Test
+        fun `whose caller is about to leave are refused at once`() {
+            val fixture = PlacingFixture(engines = 1)
+            fixture.granted(fixture.long())
+            val refused = assertIs<Placement.Refused>(fixture.place(fixture.long(), elapsedMs = 11_000))
+            assertEquals(RefusedReason.EXPIRED, refused.reason)
+            assertTrue(refused.retryAfterMs > 0)
+        }
+    }
+
+    @Nested
+    inner class MediumPrompts {
+        /** Guards engines without writers, on which long prompts are read without harm. */
+        @Test
+        fun `are packed onto engines that do not read`() {
+            val fixture = PlacingFixture(engines = 8)
+            val used =
+                (0 until 6)
+                    .map {
+                        fixture.nowMs += 400
+                        fixture.granted(fixture.medium()).upstream
+                    }.toSet()
+            assertEquals(1, used.size)
+        }
+    }
+
+    @Nested
+    inner class PlacersBesideOthers {
+        /** Guards against several views of the load of one engine, and against ways that are cut. */
+        @Test
+        fun `keep requests in their failure domain`() {
+            val fixture = PlacingFixture(engines = 9)
+            fixture.placer.isBesideOthers = true
+            val granted = fixture.granted(fixture.long())
+            val used = granted.helpers.map { it.upstream } + granted.upstream
+            assertTrue(used.all { it.value in setOf("engine-0", "engine-3", "engine-6") }, "used $used")
+        }
+    }
+}
--- a/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
@@ -46,6 +46,7 @@
     private fun place(request: PlaceRequest): PlaceReply {
         val leader = store.leader
         if (leader != null && !store.isLeader && store.isInTouch) return PlaceReply(coordinator = leader)
+        placer.isBesideOthers = !store.isLeader
         val placement = placer.place(request, timer.nowMs())
         return if (placement != null) PlaceReply(placement) else PlaceReply(isWaiting = true)
     }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/AttemptLimits.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/AttemptLimits.kt
@@ -10,13 +10,13 @@
     val nextEventMs: Long,
 ) {
     companion object {
-        /** Upstreams are given some multiple of what was predicted before another is asked. */
-        private const val SILENCE_FACTOR = 3L
-        private const val STREAM_SILENCE_MS = 1_200L
-        private const val STREAM_MARGIN_MS = 400L
+        /** First events of long prompts came within 1.5 times the prediction and 1 s in the plays of trouble-2. */
+        private const val PREDICTION_SHARE = 1.5
+        private const val STREAM_MARGIN_MS = 1_000L
 
         /** Callers leave after a gap of 2 s; an engine that reads a long prompt may pause for nearly as long. */
         private const val EVENT_SILENCE_MS = 1_400L
+        private const val SILENCE_GAPS = 3L
         private const val PLAIN_SILENCE_MS = 100L
 
         /** The part of the time left that the first attempt of a plain request may take. */
@@ -35,11 +35,11 @@
             if (isLast) return AttemptLimits(leftMs + AFTER_DEADLINE_MS, leftMs + AFTER_DEADLINE_MS)
             val firstByteMs =
                 if (route.isStream) {
-                    max(STREAM_SILENCE_MS, SILENCE_FACTOR * granted.firstByteMs + STREAM_MARGIN_MS)
+                    (PREDICTION_SHARE * granted.firstByteMs).toLong() + STREAM_MARGIN_MS
                 } else {
                     max(PLAIN_SILENCE_MS, (leftMs * PLAIN_SHARE).toLong())
                 }
-            return AttemptLimits(firstByteMs, max(EVENT_SILENCE_MS, SILENCE_FACTOR * (route.targetGapMs ?: 0)))
+            return AttemptLimits(firstByteMs, max(EVENT_SILENCE_MS, SILENCE_GAPS * (route.targetGapMs ?: 0)))
         }
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -99,10 +99,12 @@
                 accepted.team?.priority ?: route.priority,
                 caller.promptTokens,
                 caller.answerTokens,
-                max(MIN_TARGET_MS, route.targetMs - elapsedMs()),
+                route.targetMs,
                 route.targetGapMs,
                 leftMs(),
                 excluded,
+                context.timer.nowMs() - (lastEventMs ?: arrivedMs),
+                hasBegun = stream != null,
             )
         context.places.place(request) { placement, by -> if (isDone) giveBack(placement) else placed(placement, by) }
     }
@@ -357,7 +359,6 @@
         /** In logs and metrics: the caller left, and a stream that was cut. */
         const val LEFT = 499
         const val CUT = 599
-        const val MIN_TARGET_MS = 50L
         const val MIN_LEFT_MS = 20L
         const val RETRY_AFTER_MS = 500L
 
