Keep streams in their failure domain, and let late prompts harm fewer others

Change: a late prompt takes the split that harms least and may harm a fifth of its weight; a pause that looks like a stall counts twice. Specs: PlacerSpec, RetriedPromptSpec.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -52,14 +52,19 @@
         return EngineSplit(listOf(chosen), readMs, firstEventMs(chosen, readMs))
     }
 
-    /** Own failure domain first among equally full engines, since bytes between failure domains cost more. */
+    /**
+     * Engines that read nothing long first, then the own failure domain: a stream within it outlives a cut between failure
+     * domains. That costs engines that are half full, at most one for each failure domain.
+     */
     private fun packingRank(load: UpstreamLoad): Int {
         if (spreadBy != null) return -load.running * SPREAD_RANK - spreadRank(load)
-        val near = if (load.upstream.failureDomain == request.failureDomain) 1 else 0
-        val apart = if (load.isReadingLong(nowMs)) 0 else 2
-        return load.strictWriters * PACKING_RANK + apart + near
+        val apart = if (load.isReadingLong(nowMs)) 0 else APART_RANK
+        val near = if (isNear(load)) NEAR_RANK else 0
+        return apart + near + load.strictWriters
     }
 
+    private fun isNear(load: UpstreamLoad) = load.upstream.failureDomain == request.failureDomain
+
     private fun spreadRank(load: UpstreamLoad) =
         (
             load.upstream.id.value
@@ -100,7 +105,12 @@
             val harms = inTime.associateWith { harm(it, partMs) }
             val ordered =
                 inTime.sortedWith(
-                    compareBy({ harms.getValue(it) }, { it.strictWriters }, { packing(it, wanted) }),
+                    compareBy(
+                        { harms.getValue(it) },
+                        { it.strictWriters },
+                        { wanted == 1 && !isNear(it) },
+                        { packing(it, wanted) },
+                    ),
                 )
             val split = split(ordered, heads, parts) ?: continue
             val cost = harmOf(split) + PART_COST * abs(parts - wanted)
@@ -117,32 +127,41 @@
         wantedParts: Int,
     ) = if (wantedParts == 1 && spreadBy == null) -load.running else 0
 
-    /** For a prompt that cannot be in time any more: the engines on which it harms nobody, if it may wait for them. */
+    /**
+     * For a prompt that cannot be in time any more: the engines on which it harms others least, once it may wait no longer
+     * for some on which it harms nobody.
+     */
     private fun chooseLate(
         free: List<UpstreamLoad>,
         heads: List<UpstreamLoad>,
     ): EngineSplit? {
         val isPressed = request.hasBegun || waitedMs > LATE_WAIT_SHARE * request.leaveMs
-        val harmShare = if (isPressed) PRESSED_HARM_SHARE else 0.0
-        for (parts in minOf(MAX_PARTS, free.size, openReaders()) downTo 1) {
-            val partMs = readMs / parts
-            val ordered = free.sortedWith(compareBy({ harm(it, partMs) }, { it.strictWriters }))
-            val split = split(ordered, heads, parts) ?: continue
-            val isUseful = split.firstEventMs + waitedMs <= LATE_SHARE * request.leaveMs
-            if (isUseful && harmOf(split) <= harmShare * weight) return split
-        }
-        return null
+        val harmShare = if (isPressed) LATE_HARM_SHARE else 0.0
+        return (1..minOf(MAX_PARTS, free.size, openReaders()))
+            .mapNotNull { parts ->
+                val partMs = readMs / parts
+                split(free.sortedWith(compareBy({ harm(it, partMs) }, { it.strictWriters })), heads, parts)
+            }.filter { it.firstEventMs + waitedMs <= LATE_SHARE * request.leaveMs }
+            .minByOrNull { harmOf(it) + PART_COST * it.engines.size }
+            ?.takeIf { harmOf(it) <= harmShare * weight }
     }
 
     private fun openReaders() = maxReaders - candidates.count { it.isReadingLong(nowMs) }
 
     private fun harmOf(split: EngineSplit) = split.engines.sumOf { harm(it, split.partMs) }
 
-    /** The weight of the requests on an engine whose next pause becomes too long when a part is read there. */
+    /**
+     * The weight of the requests on an engine whose next pause becomes too long when a part is read there. It counts twice
+     * when they are taken for stalled: they are then read again elsewhere, or their callers leave.
+     */
     private fun harm(
         load: UpstreamLoad,
         partMs: Double,
-    ): Double = load.weightOfPausesBelow((load.passMs(profile) + load.readWaitMs(nowMs) + partMs) / GAP_SHARE)
+    ): Double {
+        val pauseMs = load.passMs(profile) + load.readWaitMs(nowMs) + partMs
+        val late = load.weightOfPausesBelow(pauseMs / GAP_SHARE)
+        return if (pauseMs < STALL_MS) late else 2 * late
+    }
 
     /** The first [parts] of [ordered], one of which must be able to answer. */
     private fun split(
@@ -238,6 +257,12 @@
         const val HARM_SHARE = 0.1
         const val PRESSED_HARM_SHARE = 0.5
 
+        /** An answer that begins late is worth a quarter of one in time on the users' sheets. */
+        const val LATE_HARM_SHARE = 0.2
+
+        /** Streams that are silent for longer are given up. */
+        const val STALL_MS = 1_200.0
+
         /** The parts of a caller's patience by which a late prompt has to begin, and after which it may harm others. */
         const val LATE_SHARE = 0.8
         const val LATE_WAIT_SHARE = 0.3
@@ -257,7 +282,8 @@
         const val RESERVED_SHARE = 0.9
         const val WRITER_RANK = 100
         const val SPREAD_RANK = 997
-        const val PACKING_RANK = 4
+        const val NEAR_RANK = 1_000
+        const val APART_RANK = 2_000
 
         /** The weight of one engine more or less than wanted; a short request weighs 1.5. */
         const val PART_COST = 0.1
--- a/routing/src/test/kotlin/samphirechute/routing/placing/PlacerSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacerSpec.kt
@@ -26,6 +26,21 @@
             assertEquals(1, used.size)
         }
 
+        /** Guards streams against a cut between failure domains. */
+        @Test
+        fun `stay in the failure domain of their caller while it has room`() {
+            val fixture = PlacingFixture(engines = 6)
+            val other = FailureDomain("domain-1")
+            repeat(3) { fixture.granted(fixture.short()) }
+            val used =
+                (0 until 8)
+                    .map {
+                        fixture.nowMs += 100
+                        fixture.granted(fixture.short().copy(failureDomain = other)).upstream
+                    }.toSet()
+            assertEquals(setOf(UpstreamId("engine-1")), used)
+        }
+
         /** Guards the pause between events: two prompts that are read in one pass delay it together. */
         @Test
         fun `that come together go to several engines`() {
--- a/routing/src/test/kotlin/samphirechute/routing/placing/RetriedPromptSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/RetriedPromptSpec.kt
@@ -4,6 +4,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 /** The load is an upstream that loses answers or goes away, so that requests come again when their target has passed. */
@@ -34,6 +35,18 @@
             assertIs<Placement.Granted>(fixture.place(fixture.long(), elapsedMs = 1_400, hasBegun = true))
         }
 
+        /** Guards the short requests beside it: a late answer is worth a quarter of one in time. */
+        @Test
+        fun `wait rather than stop many short ones`() {
+            val fixture = PlacingFixture(engines = 1)
+            repeat(10) {
+                fixture.nowMs += 60
+                fixture.granted(fixture.short())
+            }
+            fixture.nowMs += 100
+            assertNull(fixture.place(fixture.long(), elapsedMs = 4_000))
+        }
+
         @Test
         fun `whose caller is about to leave are refused at once`() {
             val fixture = PlacingFixture(engines = 1)
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -139,7 +139,7 @@
                 "send" to sends,
                 "after_ms" to elapsedMs(),
                 "predicted_ms" to granted.firstByteMs,
-                "parts" to granted.helpers.size + 1,
+                "helpers" to granted.helpers.map { it.upstream },
                 "tokens" to caller.promptTokens,
                 "resumes" to (stream != null),
             ),
