--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -76,7 +76,7 @@
      * so a prompt that finds too few free engines waits here rather than in their queues; null says so.
      */
     private fun chooseLong(heads: List<UpstreamLoad>): EngineSplit? {
-        val free = helpers.filter { it.readWaitMs(nowMs) <= FREE_READ_MS }
+        val free = helpers.filter { it.hasReadAll(profile, nowMs) }
         if (request.hasBegun) return chooseLate(free, heads)
         val leftMs = TARGET_SHARE_LONG * request.targetMs - waitedMs
         val split = cheapest(free, heads, leftMs)
@@ -244,9 +244,6 @@
         /** As above for prompts that wait here and not at an engine, so that little else comes between. */
         const val TARGET_SHARE_LONG = 0.85
 
-        /** An engine whose reading ends so soon counts as free. */
-        const val FREE_READ_MS = 30.0
-
         /** The reading that one part should take: long against a pass, short against the targets. */
         const val PART_MS = 350.0
 
--- a/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
@@ -45,6 +45,15 @@
 
     fun readWaitMs(nowMs: Long) = max(0.0, readDoneMs - nowMs)
 
+    /**
+     * True when nothing is left to read. Reading begins with the next pass of those that write and ends within one, so it
+     * may end a pass later than its work alone takes; a part that came earlier would be read first and delay it.
+     */
+    fun hasReadAll(
+        profile: EngineProfile,
+        nowMs: Long,
+    ) = nowMs >= readDoneMs + passMs(profile)
+
     fun passMs(profile: EngineProfile) = profile.passMs(running, memoryTokens)
 
     fun isPaused(nowMs: Long) = nowMs < pausedUntilMs
