Let entry instances follow three control instances and the leader

Change: an entry instance follows three, the leader besides, and others in place of those that are silent; control instances still follow all, as announcements come to each. The number of entry instances, which divides the retries, is the largest that any followed instance counts. Sites with three members are followed as before.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -22,8 +22,8 @@
 }
 
 /**
- * Follows all control instances that are known: one open question to each, which is answered when there is news or after
- * a second. So news arrives at once, and an instance that is silent is noticed within two seconds.
+ * Follows control instances: one open question to each, which is answered when there is news or after a second. So news
+ * arrives at once, and an instance that is silent is noticed within two seconds.
  */
 class Watcher(
     private val settings: ServingSettings,
@@ -33,6 +33,8 @@
     private val sink: WatchSink,
 ) {
     private val log = KeyValueLog("watch")
+    private val choice = FollowChoice(isEntry)
+    private val known = LinkedHashSet<InstanceId>()
     private val links = LinkedHashMap<InstanceId, Link>()
 
     /** The instance that leads, as the instance that was heard last and is in touch with it says. */
@@ -45,21 +47,36 @@
     var isConfirmed = false
         private set
 
-    /** The number of entry instances, at least 1. */
-    var entries = 1
-        private set
+    /** The number of entry instances, at least 1. A control instance counts only those that follow it. */
+    val entries: Int get() = maxOf(1, links.values.filter { it.isUp }.maxOfOrNull { it.saidEntries } ?: 1)
 
-    fun start() = settings.seeds.forEach { follow(InstanceId(it.toString())) }
+    fun start() = learn(settings.seeds.map { InstanceId(it.toString()) })
 
     /** Control instances that answered lately. */
     fun reachable(): List<InstanceId> = links.values.filter { it.isUp }.map { it.instance }
 
     fun isReachable(instance: InstanceId) = links[instance]?.isUp ?: false
 
-    private fun follow(instance: InstanceId) {
-        val address = instance.address ?: return
-        if (instance == settings.instance || instance in links) return
-        links[instance] = Link(instance, address).also { it.ask() }
+    private fun learn(instances: List<InstanceId>) {
+        known += instances - settings.instance
+        follow()
+    }
+
+    private fun follow() {
+        val wanted = chosen()
+        for (instance in wanted - links.keys) {
+            val address = instance.address ?: continue
+            links[instance] = Link(instance, address).also { it.ask() }
+        }
+    }
+
+    private fun chosen(): Set<InstanceId> {
+        val silent =
+            links.values
+                .filter { it.isSilent }
+                .map { it.instance }
+                .toSet()
+        return choice.choose(known, silent, leader?.takeIf { it != settings.instance })
     }
 
     private fun heard(
@@ -67,7 +84,6 @@
         reply: WatchReply,
     ) {
         if (reply.isCurrent) {
-            entries = maxOf(1, reply.entries)
             if (reply.leader != leader) {
                 log.event("leader_changed", mapOf("leader" to reply.leader, "from" to link.instance))
                 leader = reply.leader
@@ -78,7 +94,7 @@
         reply.drains?.let { if (it.version > sink.drainVersion) sink.drained(it) }
         if (reply.records.isNotEmpty()) sink.upstreams(reply.records)
         if (reply.isCurrent) isConfirmed = true
-        reply.members.forEach(::follow)
+        learn(reply.members)
     }
 
     private inner class Link(
@@ -89,9 +105,16 @@
         private var life = 0L
         private var recordsVersion = 0L
         private var saidLeader: InstanceId? = null
+        var saidEntries = 0
+            private set
         private var failures = 0
+        val isSilent get() = failures > 0
 
         fun ask() {
+            if (instance !in chosen()) {
+                links -= instance
+                return
+            }
             val request =
                 WatchRequest(
                     settings.instance,
@@ -111,6 +134,7 @@
             failures = 0
             life = reply.life
             recordsVersion = reply.recordsVersion
+            saidEntries = reply.entries
             saidLeader = reply.leader.takeIf { reply.isCurrent }
             heard(this, reply)
             timer.after(PAUSE_MS) { ask() }
@@ -122,8 +146,10 @@
             failures++
             if (failures > FORGET_AFTER && instance.address !in settings.seeds) {
                 links -= instance
+                known -= instance
                 return
             }
+            follow()
             timer.after(if (failures > FAST_RETRIES) SLOW_RETRY_MS else RETRY_MS) { ask() }
         }
     }
