Let requests wait for upstreams while a coordinator has just started

Change: for an announcement's time and 500 ms after its start a coordinator lets requests wait, as long as their callers do. Spec: CoordinatorChangeSpec.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -24,6 +24,9 @@
      * domain if it has upstreams: fewer placers share each of them, and none lies behind a cut.
      */
     var isBesideOthers = spreadBy != null
+
+    /** True while upstreams are still to announce themselves; requests then wait for them rather than be refused. */
+    var isLearning = false
     private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
     private val pools = HashMap<ServiceName, PoolQueue>()
     private val placed = HashMap<RequestId, Placed>()
@@ -51,13 +54,13 @@
     ): Placement? {
         val pool = pools[request.service] ?: return Refusing.noUpstream()
         val open = loads.values.filter { it.upstream.service == request.service && it.upstream.isOpen }
-        if (open.isEmpty()) return Refusing.noUpstream()
+        if (open.isEmpty() && !isLearning) return Refusing.noUpstream()
         if (Refusing.isTooLarge(pool.profile, request)) return Refusing.tooLarge()
         if (!pool.hasBefore(request)) tryPlace(pool, request, nowMs)?.let { return it }
         val waitMs = pool.expectedWaitMs(request, nowMs)
         val patienceMs = Refusing.patienceMs(request)
         if (patienceMs == 0L) return Refusing.expired()
-        if (waitMs > patienceMs) return Refusing.overloaded(waitMs)
+        if (waitMs > patienceMs && !isLearning) return Refusing.overloaded(waitMs)
         pool.add(request, nowMs + patienceMs, nowMs)
         return null
     }
--- a/routing/src/test/kotlin/samphirechute/routing/placing/CoordinatorChangeSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/CoordinatorChangeSpec.kt
@@ -3,6 +3,9 @@
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 class CoordinatorChangeSpec {
     private fun PlacingFixture.retain(running: List<PlaceRequest>) =
@@ -35,6 +38,31 @@
         }
     }
 
+    @Nested
+    inner class ACoordinatorThatHasJustStarted {
+        private val fixture = PlacingFixture(engines = 3)
+
+        private fun closeAll(isClosed: Boolean) = fixture.change { it.copy(isOpen = !isClosed) }
+
+        /** Guards the second after a restart of the whole system, in which upstreams announce themselves one by one. */
+        @Test
+        fun `lets requests wait for upstreams`() {
+            closeAll(true)
+            fixture.placer.isLearning = true
+            repeat(40) { assertNull(fixture.place(fixture.short())) }
+            closeAll(false)
+            fixture.nowMs += 500
+            val decisions = fixture.placer.tick(fixture.nowMs)
+            assertTrue(decisions.isNotEmpty() && decisions.all { it.placement is Placement.Granted }, "$decisions")
+        }
+
+        @Test
+        fun `refuses at once when it knows that there are none`() {
+            closeAll(true)
+            assertIs<Placement.Refused>(fixture.place(fixture.short()))
+        }
+    }
+
     @Nested
     inner class InstancesThatAreGone {
         @Test
--- a/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
@@ -20,8 +20,10 @@
     private val timer: TimerService,
     private val store: StoreKeeper,
     private val placer: Placer,
+    private val announceEveryMs: Long,
     private val isGone: (InstanceId) -> Boolean,
 ) {
+    private val startedMs = timer.nowMs()
     private val decided = HashMap<RequestId, Placement>()
     private val awaiting = HashMap<RequestId, PeerExchange<PlaceReply>>()
 
@@ -44,6 +46,7 @@
         val leader = store.leader
         if (leader != null && !store.isLeader && store.isInTouch) return PlaceReply(coordinator = leader)
         placer.isBesideOthers = !store.isLeader
+        placer.isLearning = timer.nowMs() - startedMs < announceEveryMs + ANNOUNCE_MARGIN_MS
         val placement = placer.place(request, timer.nowMs())
         return if (placement != null) PlaceReply(placement) else PlaceReply(isWaiting = true)
     }
@@ -88,5 +91,8 @@
         const val TICK_MS = 20L
         const val FORGET_MS = 500L
         const val KEEP_MS = 2_000L
+
+        /** Upstreams are up to so late with an announcement. */
+        const val ANNOUNCE_MARGIN_MS = 500L
     }
 }
