Close connections after streams that began before a planned stop

Change: once idle connections are closed, each other connection is closed when its answer is complete.

--- a/net/src/main/kotlin/samphirechute/net/HttpServer.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -28,6 +28,7 @@
 
     /** While true, each answer is the last one on its connection. */
     var isLeaving = false
+    private var isClosingIdle = false
 
     val openConnections: Int get() = connections.size
 
@@ -56,9 +57,11 @@
         listener = null
     }
 
-    /** Closes the connections on which no request is under way. */
-    fun closeIdle() =
+    /** Closes the connections on which no request is under way, and each other one once its answer is complete. */
+    fun closeIdle() {
+        isClosingIdle = true
         connections.filter { it.pipeline().get(ServerConnection::class.java)?.isIdle ?: true }.forEach { it.close() }
+    }
 
     override fun close() {
         stopListening()
@@ -76,7 +79,7 @@
                 channel.pipeline().addLast(
                     traffic.handler,
                     HttpServerCodec(limits.maxHeadBytes, limits.maxHeadBytes, CHUNK_BYTES),
-                    ServerConnection(loop, limits, budget, { isLeaving }, handler),
+                    ServerConnection(loop, limits, budget, { isLeaving }, { isClosingIdle }, handler),
                 )
             }
         }
--- a/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
@@ -1,6 +1,7 @@
 package samphirechute.net
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DuplexChannel
@@ -28,6 +29,8 @@
     private val limits: ServerLimits,
     private val budget: BodyBudget,
     private val isLeaving: () -> Boolean,
+    /** True when connections are closed after their answers, also where the client was told before that they stay. */
+    private val isClosingIdle: () -> Boolean,
     private val handler: (Exchange) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>(false) {
     private val waiting = ArrayDeque<HttpObject>()
@@ -129,6 +132,10 @@
 
     private fun finished(context: ChannelHandlerContext) {
         active = null
+        if (isClosingIdle() && isIdle) {
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+            return
+        }
         armTimeout(context, limits.keepAliveMs)
         loop.post { resume(context) }
     }
--- a/net/src/test/kotlin/samphirechute/net/RelayingSpec.kt
+++ b/net/src/test/kotlin/samphirechute/net/RelayingSpec.kt
@@ -38,6 +38,29 @@
         }
     }
 
+    @Nested
+    inner class LeavingDuringAStream {
+        /** Guards against a next request on a connection whose client was told, before the stop, that it stays open. */
+        @Test
+        fun `the connection is closed after the stream, which began before`() {
+            val begun = CompletableFuture<ResponseStream>()
+            LoopbackFixture(handler = { begun.complete(it.startStream(200, "text/plain")) }).use { fixture ->
+                val client = Socket(fixture.address.host, fixture.address.port)
+                client.soTimeout = LoopbackFixture.DEADLINE_MS.toInt()
+                client.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray())
+                val stream = begun.get(LoopbackFixture.DEADLINE_MS, TimeUnit.MILLISECONDS)
+                fixture.loop.post {
+                    fixture.server.isLeaving = true
+                    fixture.server.closeIdle()
+                    stream.write("part".toByteArray())
+                    stream.finish()
+                }
+                val answer = String(client.getInputStream().readAllBytes())
+                assertTrue(answer.contains("part") && answer.endsWith("0\r\n\r\n"), answer)
+            }
+        }
+    }
+
     @Nested
     inner class EarlyAnswers {
         /** Guards against a next request whose bytes the peer takes for the rest of the body that it still expects. */
