--- /dev/null
+++ b/serving/src/test/kotlin/samphirechute/serving/placement/PlaceClientSpec.kt
@@ -0,0 +1,179 @@
+package samphirechute.serving.placement
+
+import org.junit.jupiter.api.Nested
+import samphirechute.core.FailureDomain
+import samphirechute.core.HostPort
+import samphirechute.core.InstanceId
+import samphirechute.core.RequestId
+import samphirechute.core.ServiceName
+import samphirechute.core.UpstreamId
+import samphirechute.net.EventLoop
+import samphirechute.net.HttpClient
+import samphirechute.net.HttpServer
+import samphirechute.net.peer.PeerApi
+import samphirechute.net.peer.PeerClient
+import samphirechute.routing.placing.PlaceOutcome
+import samphirechute.routing.placing.PlaceRequest
+import samphirechute.routing.placing.PlaceResult
+import samphirechute.routing.placing.PlacedUpstream
+import samphirechute.routing.placing.Placement
+import samphirechute.routing.placing.Placer
+import samphirechute.routing.placing.PoolProfile
+import samphirechute.serving.cluster.ClusterRoutes
+import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.PlaceEnds
+import samphirechute.serving.cluster.PlaceReply
+import samphirechute.serving.cluster.ServingSettings
+import samphirechute.serving.cluster.UpstreamRecord
+import samphirechute.serving.cluster.WatchReply
+import samphirechute.serving.cluster.WatchSink
+import samphirechute.serving.cluster.Watcher
+import samphirechute.state.store.AdoptedConfig
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+class PlaceClientSpec {
+    /** A coordinator over a loopback socket that may leave questions unanswered, and an instance that asks it. */
+    private class Fixture : AutoCloseable {
+        private val loop = EventLoop("place")
+        private val client = PeerClient(HttpClient(loop, CONNECT_TIMEOUT_MS))
+        private val placer = Placer()
+        val reports = LinkedBlockingQueue<PlaceEnds>()
+
+        @Volatile
+        var isPlacing = true
+
+        @Volatile
+        var isTakingReports = true
+
+        private val server: HttpServer = HttpServer(loop, handler = api()::handle)
+        private val address: HostPort = server.bind(HostPort("127.0.0.1", 0))
+        private val coordinator: InstanceId = InstanceId(address.toString())
+        private val settings = ServingSettings("entry-1", FailureDomain("a"), HostPort("127.0.0.1", 1), listOf(address))
+        private val watcher = Watcher(settings, loop.timer, client, isEntry = true, NoNews)
+        private val places = PlaceClient(settings.instance, loop.timer, client, watcher, placer)
+
+        init {
+            placer.setPools(listOf(PoolProfile(SERVICE)))
+            placer.setUpstreams(
+                listOf(PlacedUpstream(UPSTREAM, SERVICE, HostPort("127.0.0.1", 2), FailureDomain("a"), slots = 4)),
+            )
+            loop.post {
+                watcher.start()
+                places.start()
+            }
+            val isLed = CompletableFuture<Unit>()
+            loop.timer.every(POLL_MS) { if (watcher.leader == coordinator) isLed.complete(Unit) }
+            isLed.get(LIMIT_MS, TimeUnit.MILLISECONDS)
+        }
+
+        /** Who placed a request, and where. */
+        fun place(name: String): Pair<Placement, String> {
+            val placed = CompletableFuture<Pair<Placement, String>>()
+            loop.post { places.place(request(name)) { placement, by -> placed.complete(placement to by) } }
+            return placed.get(LIMIT_MS, TimeUnit.MILLISECONDS)
+        }
+
+        fun end(name: String) =
+            loop.post { places.ended(PlaceResult(RequestId(name), UPSTREAM, PlaceOutcome.DONE, firstByteMs = 5)) }
+
+        /** The next report that [isWanted], within the limit. */
+        fun report(isWanted: (PlaceEnds) -> Boolean): PlaceEnds? {
+            val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MS)
+            while (true) {
+                val leftNs = endNs - System.nanoTime()
+                val report = reports.poll(leftNs, TimeUnit.NANOSECONDS) ?: return null
+                if (isWanted(report)) return report
+            }
+        }
+
+        override fun close() {
+            server.close()
+            loop.close()
+        }
+
+        private fun request(name: String) =
+            PlaceRequest(
+                RequestId(name),
+                settings.instance,
+                FailureDomain("a"),
+                SERVICE,
+                targetMs = 100,
+                deadlineMs = 5_000,
+            )
+
+        private fun api(): PeerApi =
+            PeerApi().apply {
+                on(ClusterRoutes.watch) { _, exchange ->
+                    val reply = WatchReply(1, 0, leader = coordinator, isCurrent = true, entries = 1)
+                    loop.timer.after(POLL_MS) { exchange.answer(reply) }
+                }
+                on(ClusterRoutes.place) { _, exchange ->
+                    val granted = Placement.Granted(UPSTREAM, HostPort("127.0.0.1", 2))
+                    if (isPlacing) exchange.answer(PlaceReply(granted))
+                }
+                on(ClusterRoutes.ends) { message, exchange ->
+                    reports += message
+                    if (isTakingReports) exchange.answer(Unit)
+                }
+            }
+    }
+
+    private object NoNews : WatchSink {
+        override val revision = 0L
+        override val drainVersion = 0L
+
+        override fun configured(config: AdoptedConfig) = Unit
+
+        override fun drained(drains: DrainedDomains) = Unit
+
+        override fun upstreams(records: List<UpstreamRecord>) = Unit
+    }
+
+    private fun PlaceEnds.ends(name: String) = results.any { it.request == RequestId(name) }
+
+    @Nested
+    inner class Reports {
+        /** Guards against places that stay taken until the deadline because one report was lost. */
+        @Test
+        fun `that are not answered are sent again`() =
+            Fixture().use { fixture ->
+                fixture.place("r-1")
+                fixture.isTakingReports = false
+                fixture.end("r-1")
+                assertNotNull(fixture.report { it.ends("r-1") })
+                fixture.isTakingReports = true
+                assertNotNull(fixture.report { it.ends("r-1") })
+                assertTrue(fixture.reports.none { it.ends("r-1") })
+            }
+    }
+
+    @Nested
+    inner class ASilentCoordinator {
+        /** Guards short requests, whose target is three times what the coordinator may take. */
+        @Test
+        fun `is replaced by the instance itself, which tells of both afterwards`() =
+            Fixture().use { fixture ->
+                fixture.isPlacing = false
+                val (placement, by) = fixture.place("r-1")
+                assertTrue(placement is Placement.Granted)
+                assertEquals("self", by)
+                val report = assertNotNull(fixture.report { report -> report.own.any { it.request.request == R_1 } })
+                assertTrue(R_1 in report.withdrawn)
+            }
+    }
+
+    private companion object {
+        val SERVICE = ServiceName("desk")
+        val UPSTREAM = UpstreamId("u-1")
+        val R_1 = RequestId("r-1")
+        const val CONNECT_TIMEOUT_MS = 400
+        const val POLL_MS = 20L
+        const val LIMIT_MS = 5_000L
+    }
+}
