--- a/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
@@ -2,6 +2,7 @@
 
 import samphirechute.core.InstanceId
 import samphirechute.core.RequestId
+import samphirechute.core.time.OnDemandTimer
 import samphirechute.core.time.TimerService
 import samphirechute.net.peer.PeerApi
 import samphirechute.net.peer.PeerExchange
@@ -27,9 +28,13 @@
     private val decided = HashMap<RequestId, Placement>()
     private val awaiting = HashMap<RequestId, PeerExchange<PlaceReply>>()
 
+    private val ticks = OnDemandTimer(timer, TICK_MS, { placer.waiting > 0 }) { decide(placer.tick(timer.nowMs())) }
+
     fun start() {
-        timer.every(TICK_MS) { decide(placer.tick(timer.nowMs())) }
-        timer.every(FORGET_MS) { placer.forget(isGone, timer.nowMs()) }
+        timer.every(FORGET_MS) {
+            placer.forget(isGone, timer.nowMs())
+            decide(placer.tick(timer.nowMs()))
+        }
     }
 
     fun serve(api: PeerApi) {
@@ -48,7 +53,9 @@
         placer.isBesideOthers = !store.isLeader
         placer.isLearning = timer.nowMs() - startedMs < announceEveryMs + ANNOUNCE_MARGIN_MS
         val placement = placer.place(request, timer.nowMs())
-        return if (placement != null) PlaceReply(placement) else PlaceReply(isWaiting = true)
+        if (placement != null) return PlaceReply(placement)
+        ticks.arm()
+        return PlaceReply(isWaiting = true)
     }
 
     private fun await(
--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
@@ -4,6 +4,7 @@
 import samphirechute.core.InstanceId
 import samphirechute.core.RequestId
 import samphirechute.core.log.KeyValueLog
+import samphirechute.core.time.OnDemandTimer
 import samphirechute.core.time.TimerService
 import samphirechute.net.peer.PeerClient
 import samphirechute.routing.placing.Decision
@@ -36,6 +37,8 @@
     private val results = ArrayList<PlaceResult>()
     private val withdrawn = ArrayList<RequestId>()
     private val own = ArrayList<OwnPlacement>()
+    private val ticks =
+        OnDemandTimer(timer, TICK_MS, { localWaiting.isNotEmpty() }) { answerLocal(local.tick(timer.nowMs())) }
     private var isWholeDue = false
     private var isFlushDue = false
     private var avoidUntilMs = Long.MIN_VALUE / 2
@@ -43,7 +46,6 @@
 
     fun start() {
         watcher.onLeaderChanged = { coordinator()?.let(::noteCoordinator) }
-        timer.every(TICK_MS) { answerLocal(local.tick(timer.nowMs())) }
     }
 
     /** [onPlaced] gets the decision and who made it; it is not called after [withdraw]. */
@@ -151,7 +153,7 @@
         val placement = local.place(request, timer.nowMs())
         if (placement == null) {
             localWaiting[request.request] = onPlaced
-            return
+            return ticks.arm()
         }
         localPlaced(request, placement, onPlaced)
     }
