--- a/core/src/main/kotlin/samphirechute/core/toml/TomlTable.kt
+++ b/core/src/main/kotlin/samphirechute/core/toml/TomlTable.kt
@@ -41,12 +41,6 @@
         return if (isValid(text)) text else report(key, "has the value \"${shortened(text)}\"", accepted)
     }
 
-    /** The value as text, whatever its type. */
-    fun anyText(key: String): String? = value(key)?.let(::textOf)
-
-    /** The values of an array as texts, whatever their types; none when it is no array. */
-    fun anyTexts(key: String): List<String> = value(key)?.takeIf { it.isArray }?.map(::textOf).orEmpty()
-
     /** The strings of an array. */
     fun texts(
         key: String,
@@ -159,8 +153,6 @@
         return node.get(key)
     }
 
-    private fun textOf(node: JsonNode) = if (node.isTextual) node.textValue() else node.toString()
-
     private fun <T : Any> required(
         key: String,
         accepted: String,
