Fetch each configuration once, and take records of upstreams from two instances

Cause: every revision came to every entry instance over each of its four links, as text inside JSON, and each change of an upstream as well. Change: control instances name the revision only. An entry instance fetches its content from one of them, deflated, and from another one when that fails. Records come over two links, and those that change within 60 ms come together. An instance counts as informed only once the newest revision of an instance in touch with a majority is in force in it.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -21,6 +21,7 @@
     val commands = PeerRoute("/peer/v1/commands", Command.serializer(), CommandReply.serializer())
     val read = PeerRoute("/peer/v1/configuration", Unit.serializer(), ReadReply.serializer())
     val watch = PeerRoute("/peer/v1/watch", WatchRequest.serializer(), WatchReply.serializer())
+    val config = PeerRoute("/peer/v1/watch/configuration", ConfigRequest.serializer(), ConfigReply.serializer())
     val place = PeerRoute("/peer/v1/place", PlaceRequest.serializer(), PlaceReply.serializer())
     val await = PeerRoute("/peer/v1/place/await", AwaitRequest.serializer(), PlaceReply.serializer())
     val ends = PeerRoute("/peer/v1/place/ends", PlaceEnds.serializer(), Unit.serializer())
@@ -49,21 +50,28 @@
 data class WatchRequest(
     val from: InstanceId,
     val isEntry: Boolean,
+    /** The newest revision that the sender holds or has heard of from this control instance. */
     val revision: Long,
     val drainVersion: Long,
     /** The life of the control instance that [recordsVersion] belongs to. */
     val life: Long,
+    /** [NO_RECORDS] when the sender gets the records of upstreams from others. */
     val recordsVersion: Long,
     /** The leader that the control instance named last while it was in touch with it. */
     val leader: InstanceId? = null,
-)
+) {
+    companion object {
+        const val NO_RECORDS = Long.MAX_VALUE
+    }
+}
 
 @Serializable
 data class WatchReply(
     val life: Long,
     val recordsVersion: Long,
     val records: List<UpstreamRecord> = emptyList(),
-    val config: AdoptedConfig? = null,
+    /** The newest revision that the control instance holds; its content is fetched apart, from one instance only. */
+    val revision: Long = 0,
     val drains: DrainedDomains? = null,
     val leader: InstanceId? = null,
     val members: List<InstanceId> = emptyList(),
@@ -73,6 +81,17 @@
     val entries: Int,
 )
 
+/** Asks for the configuration, unless it is no newer than [revision]. */
+@Serializable
+data class ConfigRequest(
+    val revision: Long,
+)
+
+@Serializable
+data class ConfigReply(
+    val config: PackedConfig? = null,
+)
+
 @Serializable
 data class DrainedDomains(
     val version: Long,
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -23,7 +23,8 @@
 
 /**
  * Follows control instances: one open question to each, which is answered when there is news or after a second. So news
- * arrives at once, and an instance that is silent is noticed within two seconds.
+ * arrives at once, and an instance that is silent is noticed within two seconds. The content of a configuration is fetched
+ * from one of them only, and an entry instance takes the records of upstreams from two.
  */
 class Watcher(
     private val settings: ServingSettings,
@@ -43,9 +44,17 @@
 
     var onLeaderChanged: () -> Unit = {}
 
-    /** True once an instance that is in touch with a majority has answered. */
+    /** True once the newest configuration of an instance in touch with a majority has been in force here. */
     var isConfirmed = false
         private set
+    var onConfirmed: () -> Unit = {}
+    private var isFetching = false
+
+    /** The instance whose last fetch failed; others are tried before it. */
+    private var failedSource: InstanceId? = null
+
+    /** The newest revision whose content has come, be it readable or not. */
+    private var fetchedRevision = 0L
 
     /** The number of entry instances, at least 1. A control instance counts only those that follow it. */
     val entries: Int get() = maxOf(1, links.values.filter { it.isUp }.maxOfOrNull { it.saidEntries } ?: 1)
@@ -90,18 +99,74 @@
                 onLeaderChanged()
             }
         }
-        reply.config?.let { if (it.revision > sink.revision) sink.configured(it) }
         reply.drains?.let { if (it.version > sink.drainVersion) sink.drained(it) }
         if (reply.records.isNotEmpty()) sink.upstreams(reply.records)
-        if (reply.isCurrent) isConfirmed = true
         learn(reply.members)
+        fetchNewest()
+        confirm()
+    }
+
+    private fun confirm() {
+        if (isConfirmed || links.values.none { it.isUp && it.isCurrent && it.saidRevision <= sink.revision }) return
+        isConfirmed = true
+        onConfirmed()
+    }
+
+    /** Fetches the content of the newest configuration that an instance names, from one that did not fail just now. */
+    private fun fetchNewest() {
+        if (isFetching) return
+        val held = maxOf(sink.revision, fetchedRevision)
+        val sources = links.values.filter { it.isUp && it.saidRevision > held }
+        val source = sources.firstOrNull { it.instance != failedSource } ?: sources.firstOrNull() ?: return
+        isFetching = true
+        client.call(source.address, ClusterRoutes.config, ConfigRequest(held), FETCH_TIMEOUT_MS) { result ->
+            isFetching = false
+            result.fold({ fetched(it, source) }) { error ->
+                log.event("configuration_fetch_failed", mapOf("from" to source.instance, "error" to error.detail))
+                fetchElsewhere(source)
+            }
+        }
+    }
+
+    private fun fetched(
+        reply: ConfigReply,
+        source: Link,
+    ) {
+        val config = reply.config?.unpack()
+        if (config == null) {
+            log.warn("configuration_damaged", mapOf("from" to source.instance, "revision" to reply.config?.revision))
+            return fetchElsewhere(source)
+        }
+        failedSource = null
+        fetchedRevision = maxOf(fetchedRevision, config.revision)
+        if (config.revision > sink.revision) sink.configured(config)
+        confirm()
+        fetchNewest()
+    }
+
+    private fun fetchElsewhere(failed: Link) {
+        failedSource = failed.instance
+        timer.after(RETRY_MS) { fetchNewest() }
+    }
+
+    /** True for the leader and one more instance that is not silent; a control instance takes records from all. */
+    private fun isRecordSource(link: Link): Boolean {
+        if (!isEntry) return true
+        val sources = links.values.filter { !it.isSilent }.sortedBy { it.instance != leader }
+        return link in sources.take(RECORD_LINKS)
     }
 
     private inner class Link(
         val instance: InstanceId,
-        private val address: HostPort,
+        val address: HostPort,
     ) {
         var isUp = false
+
+        /** What the instance said last: whether it is in touch with a majority, and its revision. */
+        var isCurrent = false
+            private set
+        var saidRevision = 0L
+            private set
         private var life = 0L
         private var recordsVersion = 0L
         private var saidLeader: InstanceId? = null
@@ -115,25 +180,38 @@
                 links -= instance
                 return
             }
+            val takesRecords = isRecordSource(this)
             val request =
                 WatchRequest(
                     settings.instance,
                     isEntry,
-                    sink.revision,
+                    maxOf(sink.revision, saidRevision),
                     sink.drainVersion,
                     life,
-                    recordsVersion,
+                    if (takesRecords) recordsVersion else WatchRequest.NO_RECORDS,
                     saidLeader,
                 )
-            client.call(address, ClusterRoutes.watch, request, TIMEOUT_MS) { it.fold(::answered, ::failed) }
+            client.call(address, ClusterRoutes.watch, request, TIMEOUT_MS) { result ->
+                result.fold({ answered(it, takesRecords) }, ::failed)
+            }
         }
 
-        private fun answered(reply: WatchReply) {
+        private fun answered(
+            reply: WatchReply,
+            takesRecords: Boolean,
+        ) {
             if (!isUp) log.event("control_reached", mapOf("instance" to instance, "failures" to failures))
             isUp = true
             failures = 0
-            life = reply.life
-            recordsVersion = reply.recordsVersion
+            if (takesRecords) {
+                life = reply.life
+                recordsVersion = reply.recordsVersion
+            } else if (life != reply.life) {
+                life = reply.life
+                recordsVersion = 0
+            }
+            isCurrent = reply.isCurrent
+            saidRevision = reply.revision
             saidEntries = reply.entries
             saidLeader = reply.leader.takeIf { reply.isCurrent }
             heard(this, reply)
@@ -157,6 +235,10 @@
     private companion object {
         /** Longer than a control instance keeps a question open. */
         const val TIMEOUT_MS = 1_600L
+        const val FETCH_TIMEOUT_MS = 500L
+
+        /** One may be lost or silent at any moment. */
+        const val RECORD_LINKS = 2
 
         /** Gathers changes that come together. */
         const val PAUSE_MS = 20L
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -61,7 +61,7 @@
 
     private fun upstreamsChanged() {
         view.upstreams(registrar.table.all())
-        watches.changed()
+        watches.recordsChanged()
     }
 
     /** Only announcements are taken from other control instances; the durable state comes through the log. */
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
@@ -6,7 +6,9 @@
 import samphirechute.net.peer.PeerApi
 import samphirechute.net.peer.PeerExchange
 import samphirechute.serving.cluster.ClusterRoutes
+import samphirechute.serving.cluster.ConfigReply
 import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.PackedConfig
 import samphirechute.serving.cluster.WatchReply
 import samphirechute.serving.cluster.WatchRequest
 import samphirechute.state.command.DrainTarget
@@ -21,8 +23,10 @@
     private val waiting = LinkedHashMap<InstanceId, Question>()
     private val entriesMs = HashMap<InstanceId, Long>()
     private var isDue = false
+    private var areRecordsDue = false
+    private var packed: PackedConfig? = null
 
-    fun serve(api: PeerApi) =
+    fun serve(api: PeerApi) {
         api.on(ClusterRoutes.watch) { request, exchange ->
             if (request.isEntry) entriesMs[request.from] = timer.nowMs()
             waiting.remove(request.from)?.timeout?.cancel()
@@ -32,17 +36,41 @@
                 hold(request, exchange)
             }
         }
+        api.on(ClusterRoutes.config) { request, exchange ->
+            exchange.answer(ConfigReply(packed().takeIf { request.revision < revision }))
+        }
+    }
 
-    /** Something has changed; changes of one turn of the loop are answered together. */
+    /** The durable state has changed; changes of one turn of the loop are answered together. */
     fun changed() {
         if (isDue) return
         isDue = true
         timer.after(0) {
             isDue = false
-            waiting.values.filter { isNews(it.request) }.forEach(::answer)
+            answerNews()
+        }
+    }
+
+    /** Records of upstreams have changed. Those that change within a short time, as in a release, are answered together. */
+    fun recordsChanged() {
+        if (areRecordsDue) return
+        areRecordsDue = true
+        timer.after(RECORDS_MS) {
+            areRecordsDue = false
+            answerNews()
         }
     }
 
+    private fun answerNews() = waiting.values.filter { isNews(it.request) }.forEach(::answer)
+
+    private val revision: Long get() = store.state.adopted?.revision ?: 0
+
+    /** Packed once for all instances that fetch it. */
+    private fun packed(): PackedConfig? {
+        val adopted = store.state.adopted ?: return null
+        return packed?.takeIf { it.revision == adopted.revision } ?: PackedConfig.of(adopted).also { packed = it }
+    }
+
     /** Entry instances that asked lately. */
     fun entries(): Int {
         entriesMs.values.removeIf { timer.nowMs() - it > ENTRY_KEEP_MS }
@@ -77,16 +105,16 @@
     private fun isNews(request: WatchRequest) =
         request.life != life || request.recordsVersion < registrar.table.version ||
             (store.isInTouch && request.leader != store.leader) ||
-            request.revision < (store.state.adopted?.revision ?: 0) || request.drainVersion < store.state.drainVersion
+            request.revision < revision || request.drainVersion < store.state.drainVersion
 
     private fun reply(request: WatchRequest): WatchReply {
-        val state = store.state
-        val known = if (request.life == life) request.recordsVersion else 0
+        val isKnown = request.life == life || request.recordsVersion == WatchRequest.NO_RECORDS
+        val known = if (isKnown) request.recordsVersion else 0
         return WatchReply(
             life,
             registrar.table.version,
             registrar.table.changedAfter(known),
-            state.adopted?.takeIf { it.revision > request.revision },
+            revision,
             drains().takeIf { it.version > request.drainVersion },
             store.leader,
             store.members,
@@ -112,6 +140,9 @@
 
     private companion object {
         const val HOLD_MS = 1_000L
+
+        /** A small part of the 2 s within which a leaving upstream must get no more requests. */
+        const val RECORDS_MS = 60L
         const val ENTRY_KEEP_MS = 10_000L
 
         /** Instances ask again within about a second of each answer. */
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -64,6 +64,7 @@
     val knownUpstreams: Int get() = table.all().count { it.state != UpstreamState.GONE }
 
     fun start() {
+        watcher.onConfirmed = ::configured
         watcher.start()
         places.start()
         timer.every(FORGET_EVERY_MS) { table.forgetGone(timer.nowMs()) }
