Obey what upstreams say of themselves, and end streams that only drip

Cause: nothing read 'Server-Leaving' or the 'Retry-After' of an upstream's 503. A stream whose upstream sent comments or parts of events now and then was never given up; one that paused for 1.4 s was cut also when no other upstream could carry it on; an answer to another request was skipped for as long as its body went on. Change: an answer that says that its upstream leaves takes that life of it out for this instance at once and, with the report of the request, for all others; within one life no earlier state follows a later one. An upstream that turns a request away for a time gets nothing of this instance within it: UpstreamNotices is asked before each sending, TurnedAwayTable when placing, and a request that finds no other upstream is refused at once. Only events that carry something count as progress of a stream, and a silent one is cut only when another upstream may carry it on. At most 4 MiB of an answer to another request are skipped.

--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -17,6 +17,7 @@
     private var call: ActiveCall? = null
     private var isKeepAlive = true
     private var isForeign = false
+    private var foreignBytes = 0L
     private var idleLimitMs = Long.MAX_VALUE
 
     fun serve(next: ActiveCall) {
@@ -48,14 +49,25 @@
             idleLimitMs = idleLimitMs(message)
             isForeign = !current.head(message)
         }
-        if (isForeign) {
-            if (message is LastHttpContent) isForeign = false
-            return
-        }
+        if (isForeign) return skip(context, current, message)
         if (message is HttpContent) current.body(message.content())
         if (message is LastHttpContent && call === current) ended(context, current)
     }
 
+    /** Skips an answer to another request, which may have no end. */
+    private fun skip(
+        context: ChannelHandlerContext,
+        current: ActiveCall,
+        message: HttpObject,
+    ) {
+        if (message is HttpContent) foreignBytes += message.content().readableBytes()
+        if (message is LastHttpContent) isForeign = false
+        if (foreignBytes <= MAX_FOREIGN_BYTES) return
+        call = null
+        context.close()
+        current.failed(ClientFailure.Malformed("more than $MAX_FOREIGN_BYTES bytes that belong to no answer"))
+    }
+
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         if (context.channel().isWritable) call?.writable()
         context.fireChannelWritabilityChanged()
@@ -110,6 +122,9 @@
 
     private companion object {
         const val CONTINUE_STATUS = 100
+
+        /** As large as the largest whole answer that is accepted; a late copy of one is no larger. */
+        const val MAX_FOREIGN_BYTES = 4L * 1024 * 1024
         const val MS_PER_SECOND = 1_000L
         const val IDLE_MARGIN_MS = 500L
         val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d{1,6})")
--- a/routing/src/main/kotlin/samphirechute/routing/flow/RetryBudget.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/RetryBudget.kt
@@ -17,12 +17,15 @@
 
     /** Takes one retry from the budget; false when it is used up. */
     fun tryTake(nowMs: Long): Boolean {
-        val slot = slotAt(nowMs)
+        if (!hasLeft(nowMs)) return false
+        slotAt(nowMs).retries++
+        return true
+    }
+
+    fun hasLeft(nowMs: Long): Boolean {
         val oldest = nowMs / SLOT_MS - WINDOW_SLOTS
         val recent = slots.filter { it.index > oldest }
-        if (recent.sumOf { it.retries } >= floor() + share * recent.sumOf { it.successes }) return false
-        slot.retries++
-        return true
+        return recent.sumOf { it.retries } < floor() + share * recent.sumOf { it.successes }
     }
 
     private fun slotAt(nowMs: Long): Slot {
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlaceRequest.kt
@@ -94,6 +94,10 @@
     @SerialName("no_upstream")
     NO_UPSTREAM,
 
+    /** All open upstreams want no requests of the instance for a while. */
+    @SerialName("turned_away")
+    TURNED_AWAY,
+
     /** All upstreams are busy for longer than the request can wait. */
     @SerialName("overloaded")
     OVERLOADED,
@@ -117,6 +121,16 @@
     val firstByteMs: Long? = null,
     /** The failure domain that the request was sent from. */
     val from: FailureDomain? = null,
+    /** The start of the upstream's life in which it said that it leaves; null when it did not. */
+    val leavingBornMs: Long? = null,
+    val turnedAway: TurnedAway? = null,
+)
+
+/** An upstream wants no requests of one instance for [forMs]. */
+@Serializable
+data class TurnedAway(
+    val instance: InstanceId,
+    val forMs: Long,
 )
 
 @Serializable
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -31,6 +31,7 @@
     private val pools = HashMap<ServiceName, PoolQueue>()
     private val placed = HashMap<RequestId, Placed>()
     private val links = LinkHealth()
+    private val turnedAway = TurnedAwayTable()
 
     fun setPools(profiles: List<PoolProfile>) {
         val services = profiles.map { it.service }.toSet()
@@ -53,8 +54,10 @@
         nowMs: Long,
     ): Placement? {
         val pool = pools[request.service] ?: return Refusing.noUpstream()
-        val open = loads.values.filter { it.upstream.service == request.service && it.upstream.isOpen }
+        val open = open(request)
         if (open.isEmpty() && !isLearning) return Refusing.noUpstream()
+        val shortestMs = open.minOfOrNull { turnedAway.leftMs(request.instance, it.upstream.id, nowMs) } ?: 0
+        if (shortestMs > 0) return Refusing.turnedAway(shortestMs)
         if (Refusing.isTooLarge(pool.profile, request)) return Refusing.tooLarge()
         if (!pool.hasBefore(request)) tryPlace(pool, request, nowMs)?.let { return it }
         val waitMs = pool.expectedWaitMs(request, nowMs)
@@ -84,6 +87,7 @@
     ): List<Decision> {
         val record = placed[result.request]
         loads[result.upstream]?.let { note(it, result, nowMs) }
+        result.turnedAway?.let { turnedAway.note(result.upstream, it, nowMs) }
         if (record == null || record.head != result.upstream) return emptyList()
         free(record, nowMs)
         val pool = pools[record.request.service] ?: return emptyList()
@@ -189,9 +193,8 @@
         nowMs: Long,
     ): List<UpstreamLoad> {
         val open =
-            loads.values.filter {
-                it.upstream.service == request.service && it.upstream.isOpen && it.upstream.id !in request.excluded &&
-                    !isAtColdLimit(it, profile, nowMs)
+            open(request).filter {
+                !isAtColdLimit(it, profile, nowMs) && turnedAway.leftMs(request.instance, it.upstream.id, nowMs) == 0L
             }
         val reached =
             open
@@ -203,6 +206,17 @@
         return trusted.ifEmpty { near }
     }
 
+    private fun open(request: PlaceRequest): List<UpstreamLoad> =
+        loads.values.filter {
+            it.upstream.service == request.service && it.upstream.isOpen && it.upstream.id !in request.excluded
+        }
+
+    fun hasOpen(
+        service: ServiceName,
+        excluded: Set<UpstreamId>,
+    ): Boolean =
+        loads.values.any { it.upstream.service == service && it.upstream.isOpen && it.upstream.id !in excluded }
+
     private fun isDoubtful(
         load: UpstreamLoad,
         nowMs: Long,
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Refusing.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Refusing.kt
@@ -21,6 +21,8 @@
 
     fun tooLarge() = refused(RefusedReason.TOO_LARGE, TOO_LARGE_RETRY_MS)
 
+    fun turnedAway(leftMs: Long) = refused(RefusedReason.TURNED_AWAY, leftMs)
+
     /** There is room for one more request after [waitMs]. */
     fun overloaded(waitMs: Long) = refused(RefusedReason.OVERLOADED, waitMs)
 
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/UpstreamRecord.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/UpstreamRecord.kt
@@ -23,13 +23,12 @@
     /** True when no announcement has come for some time. */
     val isSilent: Boolean = false,
 ) {
-    /** True when this record replaces [other] of the same upstream. Within one life nothing follows its end. */
+    /** True when this record replaces [other] of the same upstream. Within one life no earlier state follows a later one. */
     fun isNewerThan(other: UpstreamRecord): Boolean =
         when {
             bornMs != other.bornMs -> bornMs > other.bornMs
             other.state == UpstreamState.GONE -> false
-            state == UpstreamState.GONE -> true
-            else -> compareValuesBy(this, other, { it.sequence }, { it.state.ordinal }, { it.isSilent }) > 0
+            else -> compareValuesBy(this, other, { it.state.ordinal }, { it.sequence }, { it.isSilent }) > 0
         }
 }
 
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -30,7 +30,7 @@
     val store = StoreKeeper(settings, timer, client, loop::post)
     val registrar: Registrar = Registrar(timer, settings.announceEveryMs, ::upstreamsChanged)
     private val watches = WatchDesk(timer, store, registrar, life)
-    private val places = PlaceDesk(timer, store, placer, settings.announceEveryMs, watches::isGone)
+    private val places = PlaceDesk(timer, store, placer, settings.announceEveryMs, watches::isGone, registrar::leaving)
     private val watcher = Watcher(settings, timer, client, isEntry = false, Sink())
 
     /** The paths for other instances. */
--- a/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlaceDesk.kt
@@ -2,6 +2,7 @@
 
 import samphirechute.core.InstanceId
 import samphirechute.core.RequestId
+import samphirechute.core.UpstreamId
 import samphirechute.core.time.OnDemandTimer
 import samphirechute.core.time.TimerService
 import samphirechute.net.peer.PeerApi
@@ -23,6 +24,7 @@
     private val placer: Placer,
     private val announceEveryMs: Long,
     private val isGone: (InstanceId) -> Boolean,
+    private val onLeaving: (UpstreamId, bornMs: Long) -> Unit,
 ) {
     private val startedMs = timer.nowMs()
     private val decided = HashMap<RequestId, Placement>()
@@ -43,6 +45,7 @@
         api.on(ClusterRoutes.ends) { message, exchange ->
             exchange.answer(Unit)
             message.withdrawn.forEach(::forget)
+            message.results.forEach { result -> result.leavingBornMs?.let { onLeaving(result.upstream, it) } }
             decide(placer.take(message, timer.nowMs()))
         }
     }
--- a/serving/src/main/kotlin/samphirechute/serving/control/Registrar.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/Registrar.kt
@@ -38,6 +38,15 @@
         if (merge(known.copy(state = UpstreamState.GONE))) onChanged()
     }
 
+    /** An answer of the upstream said that it leaves, in the life that began at [bornMs]. */
+    fun leaving(
+        id: UpstreamId,
+        bornMs: Long,
+    ) {
+        val known = table[id]?.takeIf { it.bornMs == bornMs && it.state == UpstreamState.READY } ?: return
+        if (merge(known.copy(state = UpstreamState.DRAINING))) onChanged()
+    }
+
     /** Records of another control instance. One that is silent there may have announced itself here since. */
     fun learned(records: List<UpstreamRecord>) {
         var isChanged = false
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -11,6 +11,7 @@
 import samphirechute.serving.cluster.ConfigReader
 import samphirechute.serving.cluster.DrainedDomains
 import samphirechute.serving.cluster.ServingSettings
+import samphirechute.serving.cluster.UpstreamNotices
 import samphirechute.serving.cluster.UpstreamRecord
 import samphirechute.serving.cluster.UpstreamState
 import samphirechute.serving.cluster.UpstreamTable
@@ -40,6 +41,7 @@
     private val watcher = Watcher(settings, timer, peerClient, isEntry = true, Sink())
     private val places = PlaceClient(settings.instance, timer, peerClient, watcher, placer)
     private val budget = RetryBudget { settings.retryFloor / watcher.entries }
+    private val notices = UpstreamNotices(timer, table, { view.drains }) { view.upstreams(table.all()) }
     private val desk =
         RequestDesk(
             RelayContext(
@@ -49,6 +51,7 @@
                 places,
                 protocol,
                 budget,
+                notices,
                 RequestLog(registry),
             ),
         )
--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
@@ -3,6 +3,8 @@
 import com.github.michaelbull.result.fold
 import samphirechute.core.InstanceId
 import samphirechute.core.RequestId
+import samphirechute.core.ServiceName
+import samphirechute.core.UpstreamId
 import samphirechute.core.log.KeyValueLog
 import samphirechute.core.time.OnDemandTimer
 import samphirechute.core.time.TimerService
@@ -71,6 +73,12 @@
         flushSoon()
     }
 
+    /** True when an upstream of the service is known that is open and not among [excluded]. */
+    fun hasOther(
+        service: ServiceName,
+        excluded: Set<UpstreamId>,
+    ): Boolean = local.hasOpen(service, excluded)
+
     fun ended(result: PlaceResult) {
         running -= result.request
         answerLocal(local.ended(result, timer.nowMs()))
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import samphirechute.core.HostPort
 import samphirechute.core.RequestId
+import samphirechute.core.UpstreamId
 import samphirechute.core.time.Subscription
 import samphirechute.net.ClientCall
 import samphirechute.net.ClientFailure
@@ -31,6 +32,8 @@
     private val requestId: RequestId,
     private val events: EventSink?,
     private val limits: AttemptLimits,
+    /** False when a stream that is silent for long should be waited for, since no other upstream can carry it on. */
+    private val mayReplace: () -> Boolean,
     private val onEnd: (Attempt, AttemptResult) -> Unit,
 ) : ResponseListener {
     private val startedMs = context.timer.nowMs()
@@ -40,6 +43,7 @@
     private var answer: UpstreamAnswer? = null
     private var call: ClientCall? = null
     private var silence: Subscription? = null
+    private var upstream: UpstreamId? = null
     private var isSent = false
     private var isDone = false
 
@@ -47,6 +51,10 @@
     var firstByteMs: Long? = null
         private set
 
+    /** The start of the upstream's life in which it said that it leaves, or null. */
+    var leavingBornMs: Long? = null
+        private set
+
     fun start(
         address: HostPort,
         dispatch: Dispatch,
@@ -62,6 +70,7 @@
                 maxIdleMs = if (isOnce) ONCE_IDLE_MS else IDLE_MS,
                 isOwnAnswer = { context.protocol.readAnswer(it).requestId == requestId },
             )
+        upstream = dispatch.upstream
         expectWithin(limits.firstByteMs)
         call = context.client.send(outgoing, this)
     }
@@ -86,6 +95,7 @@
         this.head = head
         val read = context.protocol.readAnswer(head)
         answer = read
+        if (read.isLeaving) leavingBornMs = upstream?.let(context.notices::leaving)
         if (head.status in SUCCESS && (!read.isSigned || read.isEncoded)) fail("unsigned_answer")
     }
 
@@ -122,6 +132,7 @@
                         false,
                         isConnected = true,
                         read.atFault,
+                        read.turnsAwayMs,
                     )
                 }
 
@@ -156,20 +167,28 @@
         sink: EventSink,
         piece: ByteBuf,
     ) {
+        var hasAdvanced = false
         splitter.add(piece) { event ->
             if (isDone) return@add
-            if (firstByteMs == null) firstByteMs = elapsedMs()
+            if (!event.isComment) {
+                hasAdvanced = true
+                if (firstByteMs == null) firstByteMs = elapsedMs()
+            }
             if (!sink.event(current, event)) fail("event_out_of_order")
         }
         if (isDone) return
         if (splitter.pendingBytes > MAX_EVENT_BYTES) return fail("event_too_large")
-        if (firstByteMs != null) expectWithin(limits.nextEventMs)
+        // Comments and parts of events show that the connection works, not that the upstream does.
+        if (hasAdvanced) expectWithin(limits.nextEventMs)
     }
 
     private fun expectWithin(limitMs: Long) {
         silence?.cancel()
         val reason = if (firstByteMs == null) "silent" else "stalled"
-        silence = context.timer.after(limitMs) { fail(reason, isStalled = true) }
+        silence =
+            context.timer.after(limitMs) {
+                if (events == null || mayReplace()) fail(reason, isStalled = true) else expectWithin(limitMs)
+            }
     }
 
     private fun fail(
--- a/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
@@ -25,6 +25,8 @@
         val isConnected: Boolean,
         /** A helper that the upstream could not use. */
         val atFault: UpstreamId? = null,
+        /** How long the upstream wants no requests of this instance. */
+        val turnsAwayMs: Long? = null,
     ) : AttemptResult(
             when {
                 isGone -> PlaceOutcome.GONE
--- a/serving/src/main/kotlin/samphirechute/serving/relay/EventSplitter.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/EventSplitter.kt
@@ -50,4 +50,8 @@
 internal class StreamEvent(
     val bytes: ByteArray,
     val id: Long?,
-)
+) {
+    /** True when the event carries nothing: lines that begin with a colon, or blank ones. */
+    val isComment: Boolean
+        get() = id == null && bytes.decodeToString().lineSequence().all { it.isBlank() || it.startsWith(':') }
+}
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -11,6 +11,7 @@
 import samphirechute.routing.placing.PlaceRequest
 import samphirechute.routing.placing.PlaceResult
 import samphirechute.routing.placing.Placement
+import samphirechute.routing.placing.TurnedAway
 import samphirechute.serving.cluster.Repeatability
 import samphirechute.serving.cluster.Route
 import samphirechute.serving.cluster.Team
@@ -45,6 +46,7 @@
     private var firstByteMs: Long? = null
     private var sends = 0
     private var mayHaveRun = false
+    private var declined = 0
 
     /** The attempts that count against the route's limit. */
     private var runs = 0
@@ -126,6 +128,7 @@
         granted: Placement.Granted,
         by: String,
     ) {
+        if (!context.notices.mayReceive(granted.upstream)) return decline(granted, by)
         sends++
         upstream = granted.upstream
         context.log.event(
@@ -151,6 +154,7 @@
                 requestId,
                 this.takeIf { route.isStream },
                 AttemptLimits.of(route, granted, leftMs(), isLast = !isRepeatable || runs + 1 >= route.maxAttempts),
+                { mayReplace(granted.upstream) },
                 ::attemptEnded,
             )
         attempt = next
@@ -159,6 +163,25 @@
         hold.acquire { isGranted -> if (attempt === next) send(next, granted, hold, isGranted) }
     }
 
+    /** The coordinator does not know yet that the upstream leaves or has turned this instance away. */
+    private fun decline(
+        granted: Placement.Granted,
+        by: String,
+    ) {
+        context.log.event(
+            "place_declined",
+            mapOf("request" to requestId, "upstream" to granted.upstream, "by" to by, "after_ms" to elapsedMs()),
+        )
+        context.places.ended(placeResult(granted.upstream, PlaceOutcome.CANCELLED, null))
+        excluded += granted.upstream
+        if (++declined <= MAX_DECLINED) place() else giveUp("declined")
+    }
+
+    /** True when another upstream can carry on a stream that [current] has left silent. */
+    private fun mayReplace(current: UpstreamId) =
+        mayRunAgain() && leftMs() > MIN_LEFT_MS && context.budget.hasLeft(context.timer.nowMs()) &&
+            context.places.hasOther(accepted.service, excluded + current)
+
     private fun send(
         next: Attempt,
         granted: Placement.Granted,
@@ -178,7 +201,14 @@
     ) {
         if (isDone) return
         val target = checkNotNull(upstream) { "an attempt ended that was never sent" }
-        context.places.ended(placeResult(target, result.outcome, ended.firstByteMs))
+        val turnsAwayMs = (result as? AttemptResult.NotRun)?.turnsAwayMs
+        turnsAwayMs?.let { context.notices.turnedAway(target, it) }
+        context.places.ended(
+            placeResult(target, result.outcome, ended.firstByteMs).copy(
+                leavingBornMs = ended.leavingBornMs,
+                turnedAway = turnsAwayMs?.let { TurnedAway(context.settings.instance, it) },
+            ),
+        )
         context.log.attempt(result.label)
         attempt = null
         memory?.release()
@@ -313,7 +343,10 @@
         if (current == null) return context.places.withdraw(requestId)
         current.cancel()
         memory?.release()
-        upstream?.let { context.places.ended(placeResult(it, outcome, current.firstByteMs)) }
+        upstream?.let {
+            val result = placeResult(it, outcome, current.firstByteMs)
+            context.places.ended(result.copy(leavingBornMs = current.leavingBornMs))
+        }
     }
 
     private fun answerWith(refusal: Refusal) {
@@ -360,6 +393,9 @@
         const val LEFT = 499
         const val CUT = 599
         const val MIN_LEFT_MS = 20L
+
+        /** Places that are declined before the request is refused; word of each is on its way to the coordinator. */
+        const val MAX_DECLINED = 8
         const val RETRY_AFTER_MS = 500L
 
         /** Sends beyond the route's limit when upstreams say that they have not run the request. */
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RelayContext.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayContext.kt
@@ -4,6 +4,7 @@
 import samphirechute.net.HttpClient
 import samphirechute.routing.flow.RetryBudget
 import samphirechute.serving.cluster.ServingSettings
+import samphirechute.serving.cluster.UpstreamNotices
 import samphirechute.serving.placement.PlaceClient
 
 /** What all requests of one entry instance share. */
@@ -14,5 +15,6 @@
     val places: PlaceClient,
     val protocol: RelayProtocol,
     val budget: RetryBudget,
+    val notices: UpstreamNotices,
     val log: RequestLog,
 )
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
@@ -79,4 +79,8 @@
     val atFault: UpstreamId?,
     /** The body is not the upstream's own bytes. */
     val isEncoded: Boolean,
+    /** The upstream says that it is about to leave. */
+    val isLeaving: Boolean = false,
+    /** How long the upstream wants no requests of this instance; set only when it turned one away. */
+    val turnsAwayMs: Long? = null,
 )
--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -179,7 +179,9 @@
         val address: HostPort = server.bind(HostPort("127.0.0.1", 0))
 
         private fun serve(api: PeerApi) {
-            api.on(ClusterRoutes.watch) { request, exchange -> loop.timer.after(ANSWER_MS) { answer(request, exchange) } }
+            api.on(
+                ClusterRoutes.watch,
+            ) { request, exchange -> loop.timer.after(ANSWER_MS) { answer(request, exchange) } }
             api.on(ClusterRoutes.config) { _, exchange ->
                 fetches++
                 if (isGivingContent) exchange.answer(ConfigReply(config?.let(PackedConfig::of)))
