Store configurations packed, and add no log entry for a resend

Change: a configuration is deflated where it is received and stored, replicated and fetched so. One that is no newer than the committed one is acknowledged without an entry, and a resend of one that is being committed waits for that.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -13,7 +13,6 @@
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
 import samphirechute.state.raft.RaftMessage
-import samphirechute.state.store.AdoptedConfig
 
 /** All paths between instances. */
 object ClusterRoutes {
@@ -42,7 +41,7 @@
 @Serializable
 data class ReadReply(
     val isConfirmed: Boolean,
-    val config: AdoptedConfig? = null,
+    val config: PackedConfig? = null,
 )
 
 /** Asks a control instance for all that is newer than what the sender has. The answer may take up to a second. */
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/PackedConfig.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/PackedConfig.kt
@@ -9,8 +9,8 @@
 import java.util.zip.Inflater
 
 /**
- * A configuration as it travels to entry instances. The load that it answers is hundreds of instances that each fetch every
- * revision: the content repeats names and shrinks to about a tenth.
+ * A configuration as it is stored and as it travels between instances. The load that it answers is hundreds of instances
+ * that each fetch every revision: the content repeats names and shrinks to about a tenth.
  */
 @Serializable
 data class PackedConfig(
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -54,7 +54,11 @@
     override fun close() = store.close()
 
     private fun stateChanged() {
-        store.state.adopted?.let(view::configured)
+        store.config?.takeIf { it.revision > view.revision }?.let { config ->
+            val adopted = config.unpack()
+            if (adopted == null) log.warn("configuration_damaged", mapOf("revision" to config.revision))
+            adopted?.let(view::configured)
+        }
         view.drained(watches.drains())
         watches.changed()
     }
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
@@ -11,6 +11,7 @@
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.CommandReply
 import samphirechute.serving.cluster.CommandStatus
+import samphirechute.serving.cluster.PackedConfig
 import samphirechute.serving.cluster.ReadReply
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.address
@@ -57,6 +58,7 @@
             )
         }
     private val membership = MembershipKeeper(propose = { driver.propose(it) { } })
+    private val adoptions = PendingAdoptions(::propose)
     private var lastContactMs = timer.nowMs()
 
     /** Called after the committed state has changed. */
@@ -64,6 +66,9 @@
     var onStopped: (String) -> Unit = {}
 
     val state: StoreState get() = driver.node.state
+
+    /** The newest committed configuration. */
+    val config: PackedConfig? get() = state.adopted?.let { PackedConfig(it.revision, it.content) }
     val leader: InstanceId? get() = driver.node.leader?.instance
     val isLeader: Boolean get() = driver.node.isLeader
     val members: List<InstanceId> get() = driver.node.members.map { it.instance }
@@ -101,11 +106,14 @@
         api.on(ClusterRoutes.read) { _, exchange -> readHere { exchange.answer(it) } }
     }
 
-    /** Puts a configuration in force; gives the revision that is now in force, or null when no majority took it. */
+    /** Puts a configuration in force, unless it is no newer than the one that a majority has committed. */
     fun adopt(
         config: AdoptedConfig,
         onResult: (isDone: Boolean) -> Unit,
-    ) = submit(Command.AdoptConfig(config.revision, config.content), onResult)
+    ) {
+        if (config.revision <= (state.adopted?.revision ?: 0)) return onResult(true)
+        submit(Command.AdoptConfig(config.revision, PackedConfig.of(config).packed), onResult)
+    }
 
     /** Takes a failure domain out of service or brings it back. */
     fun setDrained(
@@ -157,6 +165,11 @@
     private fun proposeHere(
         command: Command,
         onReply: (CommandReply) -> Unit,
+    ) = if (command is Command.AdoptConfig) adoptions.propose(command, onReply) else propose(command, onReply)
+
+    private fun propose(
+        command: Command,
+        onReply: (CommandReply) -> Unit,
     ) = driver.propose(command) { outcome ->
         onReply(
             when (outcome) {
@@ -183,7 +196,9 @@
     }
 
     private fun readHere(onResult: (ReadReply) -> Unit) =
-        driver.readConfirmed { state -> onResult(ReadReply(state != null, state?.adopted)) }
+        driver.readConfirmed { state ->
+            onResult(ReadReply(state != null, state?.adopted?.let { PackedConfig(it.revision, it.content) }))
+        }
 
     private fun send(
         to: InstanceId,
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
@@ -8,7 +8,6 @@
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.ConfigReply
 import samphirechute.serving.cluster.DrainedDomains
-import samphirechute.serving.cluster.PackedConfig
 import samphirechute.serving.cluster.WatchReply
 import samphirechute.serving.cluster.WatchRequest
 import samphirechute.state.command.DrainTarget
@@ -24,7 +23,6 @@
     private val entriesMs = HashMap<InstanceId, Long>()
     private var isDue = false
     private var areRecordsDue = false
-    private var packed: PackedConfig? = null
 
     fun serve(api: PeerApi) {
         api.on(ClusterRoutes.watch) { request, exchange ->
@@ -37,7 +35,7 @@
             }
         }
         api.on(ClusterRoutes.config) { request, exchange ->
-            exchange.answer(ConfigReply(packed().takeIf { request.revision < revision }))
+            exchange.answer(ConfigReply(store.config?.takeIf { request.revision < it.revision }))
         }
     }
 
@@ -63,13 +61,7 @@
 
     private fun answerNews() = waiting.values.filter { isNews(it.request) }.forEach(::answer)
 
-    private val revision: Long get() = store.state.adopted?.revision ?: 0
-
-    /** Packed once for all instances that fetch it. */
-    private fun packed(): PackedConfig? {
-        val adopted = store.state.adopted ?: return null
-        return packed?.takeIf { it.revision == adopted.revision } ?: PackedConfig.of(adopted).also { packed = it }
-    }
+    private val revision: Long get() = store.config?.revision ?: 0
 
     /** Entry instances that asked lately. */
     fun entries(): Int {
