Keep as many members of the store as two lost disks ask for

Cause: with two of five members silent, the leader removed both, so that a majority of the three that were left, two, was enough to acknowledge a change. When these two then lost their disks, the change was gone and the store had no majority for good. Change: members are removed only down to 2n + 1, where n is what the deployment says may be lost at once. Measured: MembershipKeeperSpec plays all pairs of members off with all pairs wiped, a wipe before two more, and a successor beside a member without power.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ServingSettings.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ServingSettings.kt
@@ -21,6 +21,8 @@
     val announceEveryMs: Long = 1_000,
     /** Retries that all instances together may add within ten seconds, beside a share of the requests. */
     val retryFloor: Int = 100,
+    /** Control instances that may be lost with their disks at one time. */
+    val toleratedLosses: Int = 1,
 ) {
     val instance: InstanceId get() = InstanceId(peerAddress.toString())
 }
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
@@ -57,7 +57,7 @@
                 mayFound = mayFound(),
             )
         }
-    private val membership = MembershipKeeper(propose = { driver.propose(it) { } })
+    private val membership = MembershipKeeper(2 * settings.toleratedLosses + 1) { driver.propose(it) { } }
     private val adoptions = PendingAdoptions(::propose)
     private var lastContactMs = timer.nowMs()
 
--- a/state/src/main/kotlin/samphirechute/state/host/MembershipKeeper.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/MembershipKeeper.kt
@@ -10,8 +10,11 @@
  * Keeps the membership of the store without an operator. An instance that asks to join is added; the log counts it only
  * after it has caught up. A silent voter is removed when the number of voters is even, as it is once a successor counts:
  * then one fewer makes the majority smaller. From an odd number nothing would be gained before a second one is silent.
+ * Nor is one removed that the deployment needs: a majority of the members that are left could lose all of its disks.
  */
 class MembershipKeeper(
+    /** The members that are needed to bear the loss of as many disks as the deployment has to; never fewer are left. */
+    private val minMembers: Int,
     private val propose: (Command) -> Unit,
 ) {
     private var lastMs = Long.MIN_VALUE / 2
@@ -26,14 +29,14 @@
         val silent = node.silentMembers(SILENT_MS)
         when {
             candidate != null -> add(candidate, node)
-            silent.isNotEmpty() && isMajoritySmallerWithout(silent.size, node) -> remove(silent.first(), node)
+            silent.isNotEmpty() && isDispensable(silent.size, node) -> remove(silent.first(), node)
         }
     }
 
-    private fun isMajoritySmallerWithout(
+    private fun isDispensable(
         silent: Int,
         node: RaftNode,
-    ) = node.members.size % 2 == 0 || silent > 1
+    ) = node.members.size > minMembers && (node.members.size % 2 == 0 || silent > 1)
 
     private fun add(
         candidate: StoreMember,
--- a/state/src/test/kotlin/samphirechute/state/host/MembershipKeeperSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/host/MembershipKeeperSpec.kt
@@ -13,6 +13,7 @@
     /** A store whose leader keeps the membership by itself. */
     private class KeptStore(
         names: List<String>,
+        private val minMembers: Int = 3,
     ) {
         val cluster = SimCluster(seed = 11, names = names)
 
@@ -45,7 +46,8 @@
             val leading = cluster.leader
             val raft = leading?.raft
             if (raft != null) {
-                MembershipKeeper { command -> cluster.propose(leading, command) }.tick(raft, cluster.timer.nowMs())
+                val keeper = MembershipKeeper(minMembers) { command -> cluster.propose(leading, command) }
+                keeper.tick(raft, cluster.timer.nowMs())
             }
             cluster.timer.after(KEEP_MS, ::keep)
         }
@@ -71,7 +73,7 @@
 
         @Test
         fun `let two more be lost of six`() {
-            val store = KeptStore(listOf("a", "b", "c", "d", "e", "f"))
+            val store = KeptStore(listOf("a", "b", "c", "d", "e", "f"), minMembers = 5)
             val gone = store.followers().take(2)
             gone.forEach { it.kill() }
             store.cluster.addNode(InstanceId("g"))
@@ -83,6 +85,83 @@
         }
     }
 
+    /** Guards what was acknowledged against the loss of as many disks as five members have to bear, two. */
+    @Nested
+    inner class FiveMembersThatMayLoseTwoDisks {
+        private val names = listOf("a", "b", "c", "d", "e")
+        private val pairs = names.flatMapIndexed { index, one -> names.drop(index + 1).map { setOf(one, it) } }
+
+        private fun KeptStore.nodes(names: Set<String>) = names.map { cluster.nodes.getValue(InstanceId(it)) }
+
+        private fun KeptStore.commit(revision: Long): Boolean {
+            var isCommitted = false
+            val isLed = cluster.runUntil(RECOVER_MS) { cluster.leader?.raft?.isLeader == true }
+            if (!isLed) return false
+            cluster.propose(checkNotNull(cluster.leader), Command.AdoptConfig(revision, "content $revision")) {
+                isCommitted = it is ProposalOutcome.Committed
+            }
+            return cluster.runUntil(RECOVER_MS) { isCommitted }
+        }
+
+        private fun KeptStore.holds(revision: Long): Boolean =
+            cluster.runUntil(ALL_BACK_MS) {
+                val raft = cluster.leader?.raft
+                (raft?.readableState(cluster.timer.nowMs()) ?: raft?.state)?.adopted?.revision == revision
+            }
+
+        @Test
+        fun `keep five places while two are without power, and lose nothing when two disks go then`() {
+            for (off in pairs) {
+                for (wiped in pairs) {
+                    val store = KeptStore(names, minMembers = 5)
+                    store.nodes(off).forEach { it.kill() }
+                    store.cluster.run(SILENT_MS)
+                    assertTrue(store.commit(7), "$off off: ${store.cluster.describe()}")
+                    assertEquals(names.toSet(), store.voters, "$off off")
+                    store.nodes(wiped).forEach { it.wipe() }
+                    store.cluster.run(500)
+                    store.nodes(off - wiped).forEach { it.start() }
+                    assertTrue(store.holds(7), "$off off, $wiped wiped: ${store.cluster.describe()}")
+                    assertTrue(store.commit(8), "$off off, $wiped wiped: ${store.cluster.describe()}")
+                }
+            }
+        }
+
+        @Test
+        fun `lose nothing when one disk was replaced just before two more go`() {
+            for (first in names) {
+                for (wiped in pairs) {
+                    val store = KeptStore(names, minMembers = 5)
+                    store.nodes(setOf(first)).forEach { it.wipe() }
+                    store.cluster.run(CATCH_UP_MS)
+                    assertTrue(store.commit(7), "$first wiped: ${store.cluster.describe()}")
+                    store.nodes(wiped).forEach { it.wipe() }
+                    assertTrue(store.holds(7), "$first, then $wiped wiped: ${store.cluster.describe()}")
+                    assertTrue(store.commit(8), "$first, then $wiped wiped: ${store.cluster.describe()}")
+                }
+            }
+        }
+
+        @Test
+        fun `lose nothing when a member is replaced by another machine while one is without power`() {
+            for (gone in names) {
+                for (off in names - gone) {
+                    val store = KeptStore(names, minMembers = 5)
+                    store.nodes(setOf(gone)).forEach { it.kill() }
+                    store.cluster.addNode(InstanceId("f"))
+                    store.nodes(setOf(off)).forEach { it.kill() }
+                    store.cluster.run(CATCH_UP_MS)
+                    assertTrue(store.commit(7), "$gone gone, $off off: ${store.cluster.describe()}")
+                    val wiped = (names - gone - off).take(1).toSet()
+                    store.nodes(wiped).forEach { it.wipe() }
+                    store.nodes(setOf(off)).forEach { it.start() }
+                    assertTrue(store.holds(7), "$gone gone, $off off, $wiped wiped: ${store.cluster.describe()}")
+                    assertTrue(store.commit(8), "$gone gone, $off off, $wiped wiped: ${store.cluster.describe()}")
+                }
+            }
+        }
+    }
+
     @Nested
     inner class SilentMembers {
         @Test
@@ -112,5 +191,11 @@
         /** The time within which a new member has to count, as the users' deployments set it. */
         const val CATCH_UP_MS = 6_000L
         const val RECOVER_MS = 5_000L
+
+        /** Longer than a member may be silent before its place is in question. */
+        const val SILENT_MS = 4_000L
+
+        /** The time after which service has to be back once all members are. */
+        const val ALL_BACK_MS = 15_000L
     }
 }
