--- a/net/src/main/kotlin/samphirechute/net/HttpServer.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -1,7 +1,9 @@
 package samphirechute.net
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.WriteBufferWaterMark
@@ -57,10 +59,15 @@
         listener = null
     }
 
-    /** Closes the connections on which no request is under way, and each other one once its answer is complete. */
+    /**
+     * Closes the connections on which no request is under way, and each other one once its answer is complete. What is still
+     * to be written of earlier answers goes out first.
+     */
     fun closeIdle() {
         isClosingIdle = true
-        connections.filter { it.pipeline().get(ServerConnection::class.java)?.isIdle ?: true }.forEach { it.close() }
+        connections
+            .filter { it.pipeline().get(ServerConnection::class.java)?.isIdle ?: true }
+            .forEach { it.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE) }
     }
 
     override fun close() {
