Tell control instances that have restarted which upstreams have left

Cause: announcements live in the memory of control instances. Once all of them had restarted, as they may at one moment, a late announcement of an upstream that had left made it known again as ready; entry instances that held the word of its leaving declined to send to it, those that had restarted as well did not. Change: an entry instance names the upstreams that leave or have left to a control instance whose life is new to it. Not run against the old code, which has no such field.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -58,6 +58,8 @@
     val recordsVersion: Long,
     /** The leader that the control instance named last while it was in touch with it. */
     val leader: InstanceId? = null,
+    /** Upstreams that leave or have left, for a control instance that has started and may have forgotten them. */
+    val departed: List<UpstreamRecord> = emptyList(),
 ) {
     companion object {
         const val NO_RECORDS = Long.MAX_VALUE
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -19,6 +19,9 @@
     fun drained(drains: DrainedDomains)
 
     fun upstreams(records: List<UpstreamRecord>)
+
+    /** Upstreams that leave or have left. */
+    fun departed(): List<UpstreamRecord> = emptyList()
 }
 
 /**
@@ -170,6 +173,7 @@
         private var life = 0L
         private var recordsVersion = 0L
         private var saidLeader: InstanceId? = null
+        private var isLifeNew = false
         var saidEntries = 0
             private set
         private var failures = 0
@@ -190,6 +194,7 @@
                     life,
                     if (takesRecords) recordsVersion else WatchRequest.NO_RECORDS,
                     saidLeader,
+                    if (isLifeNew) sink.departed() else emptyList(),
                 )
             client.call(address, ClusterRoutes.watch, request, TIMEOUT_MS) { result ->
                 result.fold({ answered(it, takesRecords) }, ::failed)
@@ -203,6 +208,7 @@
             if (!isUp) log.event("control_reached", mapOf("instance" to instance, "failures" to failures))
             isUp = true
             failures = 0
+            isLifeNew = life != reply.life
             if (takesRecords) {
                 life = reply.life
                 recordsVersion = reply.recordsVersion
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
@@ -27,6 +27,7 @@
     fun serve(api: PeerApi) {
         api.on(ClusterRoutes.watch) { request, exchange ->
             if (request.isEntry) entriesMs[request.from] = timer.nowMs()
+            if (request.departed.isNotEmpty()) registrar.learned(request.departed)
             waiting.remove(request.from)?.timeout?.cancel()
             if (isNews(request)) {
                 exchange.answer(reply(request))
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -105,6 +105,8 @@
             val isChanged = records.count { table.merge(it, timer.nowMs()) } > 0
             if (isChanged) view.upstreams(table.all())
         }
+
+        override fun departed() = table.all().filter { it.state != UpstreamState.READY }
     }
 
     private companion object {
--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -148,6 +148,33 @@
         }
     }
 
+    @Nested
+    inner class Restarts {
+        private val left =
+            UpstreamRecord(
+                UpstreamId("u-1"),
+                ServiceName("s"),
+                HostPort("127.0.0.1", 9),
+                FailureDomain("a"),
+                slots = 1,
+                UpstreamState.GONE,
+            )
+
+        /** Guards against an upstream that has left and is in use again once all control instances have restarted. */
+        @Test
+        fun `a control instance in a new life is told once which upstreams have left`() {
+            sink.left = listOf(left)
+            start()
+            val control = controls.first()
+            await { control.told.size == 1 }
+            onLoop { control.life++ }
+            await { control.told.size == 2 }
+            val asked = onLoop { control.asked }
+            await { control.asked > asked + 2 }
+            assertEquals(listOf(left, left), onLoop { control.told.toList() })
+        }
+    }
+
     @Nested
     inner class Packed {
         @Test
@@ -175,6 +202,8 @@
         var asked = 0
         var fetches = 0
         var givenRecords = 0
+        var life = 1L
+        val told = ArrayList<UpstreamRecord>()
         val server = HttpServer(loop, handler = PeerApi().also(::serve)::handle)
         val address: HostPort = server.bind(HostPort("127.0.0.1", 0))
 
@@ -193,10 +222,11 @@
             exchange: PeerExchange<WatchReply>,
         ) {
             asked++
+            told += request.departed
             val given = records.takeIf { request.recordsVersion < 1 }.orEmpty()
             givenRecords += given.size
             exchange.answer(
-                WatchReply(1, 1, given, config?.revision ?: 0, leader = LEADER, isCurrent = isCurrent, entries = 1),
+                WatchReply(life, 1, given, config?.revision ?: 0, leader = LEADER, isCurrent = isCurrent, entries = 1),
             )
         }
     }
@@ -205,6 +235,9 @@
         override var revision = 0L
         override val drainVersion = 0L
         var isReading = true
+        var left = emptyList<UpstreamRecord>()
+
+        override fun departed() = left
         val configs = ArrayList<AdoptedConfig>()
         val records = ArrayList<UpstreamRecord>()
 
