--- a/bench/src/main/kotlin/samphirechute/bench/Main.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/Main.kt
@@ -15,6 +15,7 @@
 import samphirechute.bench.routing.MemoryBench
 import samphirechute.bench.routing.MixBench
 import samphirechute.bench.routing.OverloadBench
+import samphirechute.bench.routing.PlaceBench
 import samphirechute.bench.store.Claims
 import samphirechute.bench.store.Recover
 import samphirechute.bench.sync.MembersBench
@@ -35,6 +36,7 @@
         "mix" to ::MixBench,
         "overload" to ::OverloadBench,
         "path" to ::PathBench,
+        "place" to ::PlaceBench,
         "publish" to ::PublishBench,
         "recover" to { Bench { seed, _ -> Recover.run(seed, ::println) } },
     )
--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineChoice.kt
@@ -96,23 +96,16 @@
         leftMs: Double,
     ): EngineSplit? {
         val wanted = ceil(readMs / PART_MS).toInt().coerceIn(1, MAX_PARTS)
+        val engines = ranked(free)
+        val order = if (wanted == 1) inOrderForOne else inOrder
         var best: EngineSplit? = null
         var bestCost = Double.MAX_VALUE
         for (parts in 1..minOf(MAX_PARTS, free.size, openReaders())) {
             val partMs = readMs / parts
-            val inTime = free.filter { firstEventMs(it, partMs) <= leftMs }
+            val inTime = engines.filter { it.baseMs + partMs <= leftMs }
             if (inTime.size < parts) continue
-            val harms = inTime.associateWith { harm(it, partMs) }
-            val ordered =
-                inTime.sortedWith(
-                    compareBy(
-                        { harms.getValue(it) },
-                        { it.strictWriters },
-                        { wanted == 1 && !isNear(it) },
-                        { packing(it, wanted) },
-                    ),
-                )
-            val split = split(ordered, heads, parts) ?: continue
+            inTime.forEach { it.harm = harm(it.load, partMs) }
+            val split = split(inTime, order, heads, parts) ?: continue
             val cost = harmOf(split) + PART_COST * abs(parts - wanted)
             if (cost >= bestCost) continue
             best = split
@@ -121,11 +114,20 @@
         return best
     }
 
+    private val inOrder = compareBy<RankedEngine>({ it.harm }, { it.strictWriters }, { it.index })
+
     /** Prompts that one engine reads in time are packed like short ones, which leaves whole engines to longer ones. */
-    private fun packing(
-        load: UpstreamLoad,
-        wantedParts: Int,
-    ) = if (wantedParts == 1 && spreadBy == null) -load.running else 0
+    private val inOrderForOne =
+        compareBy<RankedEngine>(
+            { it.harm },
+            { it.strictWriters },
+            { !it.isNear },
+            { if (spreadBy == null) -it.running else 0 },
+            { it.index },
+        )
+
+    private fun ranked(engines: List<UpstreamLoad>) =
+        engines.mapIndexed { index, load -> RankedEngine(load, index, firstEventMs(load, 0.0), isNear(load)) }
 
     /**
      * For a prompt that cannot be in time any more: the engines on which it harms others least, once it may wait no longer
@@ -137,10 +139,12 @@
     ): EngineSplit? {
         val isPressed = request.hasBegun || waitedMs > LATE_WAIT_SHARE * request.leaveMs
         val harmShare = if (isPressed) LATE_HARM_SHARE else 0.0
+        val engines = ranked(free)
         return (1..minOf(MAX_PARTS, free.size, openReaders()))
             .mapNotNull { parts ->
                 val partMs = readMs / parts
-                split(free.sortedWith(compareBy({ harm(it, partMs) }, { it.strictWriters })), heads, parts)
+                engines.forEach { it.harm = harm(it.load, partMs) }
+                split(engines, inOrder, heads, parts)
             }.filter { it.firstEventMs + waitedMs <= LATE_SHARE * request.leaveMs }
             .minByOrNull { harmOf(it) + PART_COST * it.engines.size }
             ?.takeIf { harmOf(it) <= harmShare * weight }
@@ -163,15 +167,17 @@
         return if (pauseMs < STALL_MS) late else 2 * late
     }
 
-    /** The first [parts] of [ordered], one of which must be able to answer. */
+    /** The first [parts] of [engines] in [order], one of which must be able to answer. */
     private fun split(
-        ordered: List<UpstreamLoad>,
+        engines: List<RankedEngine>,
+        order: Comparator<RankedEngine>,
         heads: List<UpstreamLoad>,
         parts: Int,
     ): EngineSplit? {
-        if (ordered.size < parts) return null
-        val chosen = ordered.take(parts)
-        val able = heads.filter { it in ordered }
+        if (engines.size < parts) return null
+        val chosen = engines.smallest(parts, order).map { it.load }
+        val usable = engines.mapTo(HashSet(2 * engines.size)) { it.load }
+        val able = heads.filter { it in usable }
         val head =
             able.filter { it in chosen && holdsAll(it) }.minByOrNull { it.strictWriters * WRITER_RANK + it.running }
                 ?: able.filter(::holdsAll).minByOrNull { it.readWaitMs(nowMs) }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
@@ -26,12 +26,15 @@
     var typicalMs = 0.0
         private set
 
-    val running: Int get() = jobs.values.count { it.isHead }
-    val helping: Int get() = jobs.values.count { !it.isHead }
-    val memoryTokens: Long get() = jobs.values.sumOf { it.memoryTokens }
+    var running = 0
+        private set
+    val helping: Int get() = jobs.size - running
+    var memoryTokens = 0L
+        private set
 
     /** Requests with pauses short enough to suffer from long reading beside them. */
-    val strictWriters: Int get() = jobs.values.count { it.isHead && it.gapMs <= STRICT_GAP_MS }
+    var strictWriters = 0
+        private set
 
     /** The shortest pause that a request here may have; null when none runs. */
     fun shortestGapMs(): Long? = jobs.values.filter { it.isHead }.minOfOrNull { it.gapMs }
@@ -69,7 +72,8 @@
         job: Job,
         nowMs: Long,
     ) {
-        jobs[request] = job
+        jobs.put(request, job)?.let { count(it, -1) }
+        count(job, 1)
         readDoneMs = max(readDoneMs, nowMs.toDouble()) + job.readMs
         if (job.isHead) recentGrantsMs += nowMs
     }
@@ -79,10 +83,22 @@
         nowMs: Long,
     ): Job? {
         val job = jobs.remove(request) ?: return null
+        count(job, -1)
         if (jobs.isEmpty()) readDoneMs = nowMs.toDouble()
         return job
     }
 
+    /** Counts are kept, since each choice among hundreds of engines asks for them many times. */
+    private fun count(
+        job: Job,
+        change: Int,
+    ) {
+        memoryTokens += change * job.memoryTokens
+        if (!job.isHead) return
+        running += change
+        if (job.gapMs <= STRICT_GAP_MS) strictWriters += change
+    }
+
     fun answered(
         firstByteMs: Long,
         nowMs: Long,
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
@@ -23,13 +23,14 @@
     private val entriesMs = HashMap<InstanceId, Long>()
     private var isDue = false
     private var areRecordsDue = false
+    private var areEntryRecordsDue = false
 
     fun serve(api: PeerApi) {
         api.on(ClusterRoutes.watch) { request, exchange ->
             if (request.isEntry) entriesMs[request.from] = timer.nowMs()
             if (request.departed.isNotEmpty()) registrar.learned(request.departed)
             waiting.remove(request.from)?.timeout?.cancel()
-            if (isNews(request)) {
+            if (isNews(request) && !areOnlyRecordsDue(request)) {
                 exchange.answer(reply(request))
             } else {
                 hold(request, exchange)
@@ -46,21 +47,31 @@
         isDue = true
         timer.after(0) {
             isDue = false
-            answerNews()
+            answerNews { true }
         }
     }
 
-    /** Records of upstreams have changed. Those that change within a short time, as in a release, are answered together. */
+    /**
+     * Records of upstreams have changed. Those that change within a short time, as in a release, are answered together, and
+     * to the many entry instances less often than to the few control instances, one of which places the requests.
+     */
     fun recordsChanged() {
         if (areRecordsDue) return
         areRecordsDue = true
         timer.after(RECORDS_MS) {
             areRecordsDue = false
-            answerNews()
+            answerNews { !it.isEntry }
+        }
+        if (areEntryRecordsDue) return
+        areEntryRecordsDue = true
+        timer.after(ENTRY_RECORDS_MS) {
+            areEntryRecordsDue = false
+            answerNews { it.isEntry }
         }
     }
 
-    private fun answerNews() = waiting.values.filter { isNews(it.request) }.forEach(::answer)
+    private fun answerNews(isDue: (WatchRequest) -> Boolean) =
+        waiting.values.filter { isDue(it.request) && isNews(it.request) }.forEach(::answer)
 
     private val revision: Long get() = store.config?.revision ?: 0
 
@@ -100,6 +111,10 @@
             (store.isInTouch && request.leader != store.leader) ||
             request.revision < revision || request.drainVersion < store.state.drainVersion
 
+    /** True when the news for an entry instance is only of records that it gets soon together with others. */
+    private fun areOnlyRecordsDue(request: WatchRequest) =
+        request.isEntry && areEntryRecordsDue && !isNews(request.copy(recordsVersion = registrar.table.version))
+
     private fun reply(request: WatchRequest): WatchReply {
         val isKnown = request.life == life || request.recordsVersion == WatchRequest.NO_RECORDS
         val known = if (isKnown) request.recordsVersion else 0
@@ -134,8 +149,9 @@
     private companion object {
         const val HOLD_MS = 1_000L
 
-        /** A small part of the 2 s within which a leaving upstream must get no more requests. */
+        /** Together a small part of the 2 s within which a leaving upstream must get no more requests. */
         const val RECORDS_MS = 60L
+        const val ENTRY_RECORDS_MS = 300L
         const val ENTRY_KEEP_MS = 10_000L
 
         /** Instances ask again within about a second of each answer. */
--- a/serving/src/main/kotlin/samphirechute/serving/relay/EventSplitter.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/EventSplitter.kt
@@ -5,7 +5,7 @@
 
 /** Cuts the bytes of an event stream into whole events; a part of an event at the end is never given out. */
 internal class EventSplitter {
-    private var pending = ByteArrayOutputStream()
+    private val pending = ByteArrayOutputStream()
     private var newlines = 0
 
     fun add(
@@ -13,16 +13,26 @@
         onEvent: (StreamEvent) -> Unit,
     ) {
         while (piece.isReadable) {
-            val byte = piece.readByte().toInt()
-            pending.write(byte)
+            val end = endOfEvent(piece)
+            piece.readBytes(pending, (if (end < 0) piece.writerIndex() else end) - piece.readerIndex())
+            if (end < 0) return
+            val bytes = pending.toByteArray()
+            pending.reset()
+            onEvent(StreamEvent(bytes, idOf(bytes)))
+        }
+    }
+
+    /** The index behind the blank line that ends the event, or -1 when it has not come yet. */
+    private fun endOfEvent(piece: ByteBuf): Int {
+        for (index in piece.readerIndex() until piece.writerIndex()) {
+            val byte = piece.getByte(index).toInt()
             if (byte == CARRIAGE_RETURN) continue
             newlines = if (byte == NEWLINE) newlines + 1 else 0
             if (newlines < BLANK_LINE) continue
             newlines = 0
-            val bytes = pending.toByteArray()
-            pending.reset()
-            onEvent(StreamEvent(bytes, idOf(bytes)))
+            return index + 1
         }
+        return -1
     }
 
     /** True when nothing of a next event has come yet. */
--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -238,6 +238,7 @@
         var left = emptyList<UpstreamRecord>()
 
         override fun departed() = left
+
         val configs = ArrayList<AdoptedConfig>()
         val records = ArrayList<UpstreamRecord>()
 
--- a/serving/src/test/kotlin/samphirechute/serving/placement/PlaceClientSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/placement/PlaceClientSpec.kt
@@ -118,8 +118,10 @@
                     if (isPlacing) exchange.answer(PlaceReply(granted))
                 }
                 on(ClusterRoutes.ends) { message, exchange ->
+                    // Read before the test sees the report, after which it changes the flag.
+                    val isTaken = isTakingReports
                     reports += message
-                    if (isTakingReports) exchange.answer(Unit)
+                    if (isTaken) exchange.answer(Unit)
                 }
             }
     }
--- /dev/null
+++ b/serving/src/test/kotlin/samphirechute/serving/relay/EventSplitterSpec.kt
@@ -0,0 +1,42 @@
+package samphirechute.serving.relay
+
+import io.netty.buffer.Unpooled
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+/** Guards against events that are cut or joined where the pieces of a connection end. */
+class EventSplitterSpec {
+    private val stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: still here\n\nid: 3\ndata: c\n\n"
+
+    private fun split(pieceBytes: Int): Pair<List<StreamEvent>, EventSplitter> {
+        val splitter = EventSplitter()
+        val events = ArrayList<StreamEvent>()
+        stream.chunked(pieceBytes).forEach { piece ->
+            splitter.add(Unpooled.wrappedBuffer(piece.encodeToByteArray())) { events += it }
+        }
+        return events to splitter
+    }
+
+    @Test
+    fun `pieces of any size give the same events`() {
+        for (pieceBytes in 1..stream.length) {
+            val (events, splitter) = split(pieceBytes)
+            assertEquals(listOf(1L, 2L, null, 3L), events.map { it.id }, "pieces of $pieceBytes")
+            assertEquals(stream, events.joinToString("") { it.bytes.decodeToString() })
+            assertTrue(splitter.isAtBoundary)
+        }
+    }
+
+    @Test
+    fun `a part of an event is kept back`() {
+        val splitter = EventSplitter()
+        splitter.add(Unpooled.wrappedBuffer("id: 1\ndata: a\n".encodeToByteArray())) { error("no event is whole") }
+        assertFalse(splitter.isAtBoundary)
+    }
+
+    @Test
+    fun `comments are told from events`() =
+        assertEquals(listOf(false, false, true, false), split(7).first.map { it.isComment })
+}
