--- a/routing/src/main/kotlin/samphirechute/routing/placing/TurnedAwayTable.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/TurnedAwayTable.kt
@@ -24,5 +24,8 @@
         instance: InstanceId,
         upstream: UpstreamId,
         nowMs: Long,
-    ): Long = ((untilMs[instance to upstream] ?: return 0) - nowMs).coerceAtLeast(0)
+    ): Long {
+        if (untilMs.isEmpty()) return 0
+        return ((untilMs[instance to upstream] ?: return 0) - nowMs).coerceAtLeast(0)
+    }
 }
