--- a/net/src/main/kotlin/samphirechute/net/HttpServer.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -28,6 +28,12 @@
     /** The bytes of all connections that clients opened. */
     val traffic = TrafficCounter()
 
+    /** Connections and requests taken since the start. */
+    var acceptedConnections = 0L
+        private set
+    var acceptedRequests = 0L
+        private set
+
     /** While true, each answer is the last one on its connection. */
     var isLeaving = false
     private var isClosingIdle = false
@@ -75,6 +81,11 @@
         connections.close()
     }
 
+    private fun accept(exchange: Exchange) {
+        acceptedRequests++
+        handler(exchange)
+    }
+
     private fun initializer() =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
@@ -83,10 +94,11 @@
                     return
                 }
                 connections += channel
+                acceptedConnections++
                 channel.pipeline().addLast(
                     traffic.handler,
                     HttpServerCodec(limits.maxHeadBytes, limits.maxHeadBytes, CHUNK_BYTES),
-                    ServerConnection(loop, limits, budget, { isLeaving }, { isClosingIdle }, handler),
+                    ServerConnection(loop, limits, budget, { isLeaving }, { isClosingIdle }, ::accept),
                 )
             }
         }
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
@@ -84,6 +84,17 @@
         driver.onLeadership = { term, isLeading ->
             log.event(if (isLeading) "leadership_gained" else "leadership_lost", mapOf("term" to term))
         }
+        driver.onCampaign = { campaign ->
+            log.event(
+                "election_started",
+                mapOf(
+                    "term" to campaign.term,
+                    "preliminary" to campaign.isPreVote,
+                    "votes_before" to campaign.grantsBefore,
+                    "needed" to campaign.needed,
+                ),
+            )
+        }
         driver.onStopped = { reason ->
             log.warn("store_stopped", mapOf("reason" to reason))
             onStopped(reason)
--- a/state/src/main/kotlin/samphirechute/state/host/LogDriver.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/LogDriver.kt
@@ -44,6 +44,9 @@
     /** Called with the term when this member becomes leader, and when it is one no longer. */
     var onLeadership: (term: Long, isLeading: Boolean) -> Unit = { _, _ -> }
 
+    /** Called when this member asks the others for their votes. */
+    var onCampaign: (RaftOutput.Campaigning) -> Unit = {}
+
     /** Called when this member follows another leader, or none. */
     var onLeaderChanged: () -> Unit = {}
 
@@ -101,6 +104,7 @@
             is RaftOutput.ReadChecked -> reads.remove(output.token)?.invoke(node.state.takeIf { output.isConfirmed })
             is RaftOutput.LeadershipGained -> onLeadership(output.term, true)
             is RaftOutput.LeadershipLost -> onLeadership(output.term, false)
+            is RaftOutput.Campaigning -> onCampaign(output)
             is RaftOutput.Stopped -> onStopped(output.reason)
         }
     }
--- a/state/src/main/kotlin/samphirechute/state/raft/Election.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Election.kt
@@ -30,7 +30,7 @@
         if (!member.disk.isIdle) return
         member.leader = null
         dueMs = retryMs(PRE_VOTE_WAIT_MS)
-        campaign = Campaign(member.term + 1, isPreVote = true, member.nowMs)
+        start(Campaign(member.term + 1, isPreVote = true, member.nowMs))
         request { PreVoteRequest(member.identity, member.term + 1, member.log.lastIndex, member.log.lastTerm) }
         grant(member.identity)
     }
@@ -100,10 +100,17 @@
         val term = member.term + 1
         dueMs = retryMs(VOTE_WAIT_MS)
         member.save(HardState(term, member.identity))
-        campaign = Campaign(term, isPreVote = false, member.nowMs, member.disk.lastIssued)
+        start(Campaign(term, isPreVote = false, member.nowMs, member.disk.lastIssued))
         request { VoteRequest(member.identity, term, member.log.lastIndex, member.log.lastTerm) }
     }
 
+    private fun start(next: Campaign) {
+        member.emit(
+            RaftOutput.Campaigning(next.term, next.isPreVote, campaign?.grants?.size ?: 0, member.majority),
+        )
+        campaign = next
+    }
+
     /** A vote is asked for only when the own one is durable; a preceding vote promises nothing. */
     private fun request(message: () -> RaftMessage) =
         member.voters.filter { it.identity != member.identity }.forEach { voter ->
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
@@ -48,6 +48,15 @@
         val term: Long,
     ) : RaftOutput()
 
+    /** This member asks the others for their votes: first whether they would give them, then for the votes themselves. */
+    data class Campaigning(
+        val term: Long,
+        val isPreVote: Boolean,
+        /** Votes that the campaign before, which this one replaces, had got. */
+        val grantsBefore: Int,
+        val needed: Int,
+    ) : RaftOutput()
+
     /** This member has stopped for good and must be restarted. */
     data class Stopped(
         val reason: String,
--- a/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
@@ -182,6 +182,7 @@
                 is RaftOutput.Apply -> output.entries.forEach { history.applied(instance, life, it) }
                 is RaftOutput.Installed -> history.installed(instance, life, output.state)
                 is RaftOutput.LeadershipLost -> Unit
+                is RaftOutput.Campaigning -> Unit
                 is RaftOutput.ReadChecked -> Unit
             }
         }
