Let campaigns for the lead that fail become rarer, and count answers that come late

Cause: a campaign waited 100 to 250 ms for answers to its preceding vote, and 200 to 350 ms for votes. Members that have just started before a whole fleet answer 300 to 900 ms late (loop_late), so each campaign replaced one whose answers were still under way and dropped them, and five campaigns a second of each of six members added to the load. Change: answers to a preceding vote count for as long as the term that they are for is the next one, and votes for as long as their term lasts, which is what makes them safe. Each campaign after the first waits four times and then eight times as long, until there is a leader.

--- a/state/src/main/kotlin/samphirechute/state/raft/Election.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Election.kt
@@ -15,13 +15,27 @@
     private val onTerm: (Long) -> Unit,
     private val isLeading: () -> Boolean,
 ) {
-    private var campaign: Campaign? = null
+    /** Answers to the preceding vote; those that come after the wait for them still count, as they promise nothing. */
+    private var survey: Campaign? = null
+
+    /** The votes of the current term, which count for as long as the term lasts. */
+    private var ballot: Campaign? = null
     private var dueMs = member.nowMs + member.firstElectionMs()
 
-    /** Starts the wait for an election anew, after word from a leader or a vote given. */
+    /** Campaigns of this member since it last heard from a leader or led. */
+    private var campaigns = 0
+
+    /** Starts the wait for an election anew, after a vote given, a later term or the end of an own lead. */
     fun postpone() {
-        campaign = null
-        dueMs = member.nowMs + member.electionTimeoutMs()
+        survey = null
+        ballot = null
+        dueMs = member.nowMs + member.electionTimeoutMs() * patience()
+    }
+
+    /** There is a leader, so the next election is not one that has failed before. */
+    fun leaderHeard() {
+        campaigns = 0
+        postpone()
     }
 
     fun tick() {
@@ -29,10 +43,15 @@
         // A member whose disk is behind could not confirm its own vote.
         if (!member.disk.isIdle) return
         member.leader = null
+        campaigns++
         dueMs = retryMs(PRE_VOTE_WAIT_MS)
-        start(Campaign(member.term + 1, isPreVote = true, member.nowMs))
-        request { PreVoteRequest(member.identity, member.term + 1, member.log.lastIndex, member.log.lastTerm) }
-        grant(member.identity)
+        val grants = survey?.takeIf { it.term == member.term + 1 }?.grants.orEmpty()
+        val next = Campaign(member.term + 1, member.nowMs, grants)
+        member.emit(RaftOutput.Campaigning(next.term, isPreVote = true, grants.size, member.majority))
+        survey = next
+        val request = PreVoteRequest(member.identity, next.term, member.log.lastIndex, member.log.lastTerm)
+        others().forEach { member.send(it, request) }
+        grantSurvey(member.identity)
     }
 
     fun onPreVoteRequest(request: PreVoteRequest) {
@@ -40,17 +59,15 @@
         val isEligible = request.term > member.term && isUpToDate(request.lastTerm, request.lastIndex)
         val isGranted = isEligible && !isPreferredTo(request)
         // Two members that campaign at once would split the votes and lose a whole round.
-        if (isGranted) dueMs = maxOf(dueMs, member.nowMs + PRE_VOTE_WAIT_MS)
+        if (isGranted) dueMs = maxOf(dueMs, member.nowMs + PRE_VOTE_WAIT_MS * patience())
         val term = if (isGranted) request.term else member.term
         member.send(request.from.instance, PreVoteReply(member.identity, term, isGranted))
     }
 
     fun onPreVoteReply(reply: PreVoteReply) {
-        val current = campaign
-        if (!reply.isGranted) {
-            if (reply.term > member.term) onTerm(reply.term)
-        } else if (current != null && current.isPreVote && reply.term == current.term) {
-            grant(reply.from)
+        when {
+            reply.isGranted -> if (reply.term == survey?.term) grantSurvey(reply.from)
+            reply.term > member.term -> onTerm(reply.term)
         }
     }
 
@@ -69,66 +86,69 @@
 
     fun onVoteReply(reply: VoteReply) {
         if (reply.term > member.term) return onTerm(reply.term)
-        val current = campaign ?: return
-        if (reply.isGranted && !current.isPreVote && reply.term == current.term) grant(reply.from)
+        if (reply.isGranted && reply.term == ballot?.term) grantBallot(reply.from)
     }
 
     /** Counts the member's own vote once the disk holds it. */
     fun onDiskDone(sequence: Long) {
-        val current = campaign ?: return
-        if (!current.isPreVote && current.term == member.term &&
-            sequence >= current.voteSequence
-        ) {
-            grant(member.identity)
-        }
+        val current = ballot ?: return
+        if (sequence >= current.voteSequence) grantBallot(member.identity)
     }
 
-    private fun grant(voter: DiskIdentity) {
-        val current = campaign ?: return
-        if (!member.isVoter(voter)) return
-        current.grants += voter
-        if (current.grants.size < member.majority) return
-        if (current.isPreVote) {
-            startVote()
-        } else {
-            campaign = null
-            onWon()
-        }
+    private fun grantSurvey(voter: DiskIdentity) {
+        val current = survey ?: return
+        if (isMajorityWith(voter, current)) startVote()
+    }
+
+    private fun grantBallot(voter: DiskIdentity) {
+        val current = ballot?.takeIf { it.term == member.term } ?: return
+        if (!isMajorityWith(voter, current)) return
+        survey = null
+        ballot = null
+        campaigns = 0
+        onWon()
     }
 
+    private fun isMajorityWith(
+        voter: DiskIdentity,
+        current: Campaign,
+    ): Boolean {
+        if (member.isVoter(voter)) current.grants += voter
+        return current.grants.count(member::isVoter) >= member.majority
+    }
+
+    /** A vote is asked for only when the own one is durable. */
     private fun startVote() {
         val term = member.term + 1
         dueMs = retryMs(VOTE_WAIT_MS)
+        val votesBefore = ballot?.grants?.size ?: 0
+        member.emit(RaftOutput.Campaigning(term, isPreVote = false, votesBefore, member.majority))
         member.save(HardState(term, member.identity))
-        start(Campaign(term, isPreVote = false, member.nowMs, member.disk.lastIssued))
-        request { VoteRequest(member.identity, term, member.log.lastIndex, member.log.lastTerm) }
+        survey = null
+        ballot = Campaign(term, member.nowMs, voteSequence = member.disk.lastIssued)
+        val request = VoteRequest(member.identity, term, member.log.lastIndex, member.log.lastTerm)
+        others().forEach { member.sendWhenDurable(it, request) }
     }
 
-    private fun start(next: Campaign) {
-        member.emit(
-            RaftOutput.Campaigning(next.term, next.isPreVote, campaign?.grants?.size ?: 0, member.majority),
-        )
-        campaign = next
-    }
+    private fun others() = member.voters.filter { it.identity != member.identity }.map { it.instance }
 
-    /** A vote is asked for only when the own one is durable; a preceding vote promises nothing. */
-    private fun request(message: () -> RaftMessage) =
-        member.voters.filter { it.identity != member.identity }.forEach { voter ->
-            if (campaign?.isPreVote == true) {
-                member.send(voter.instance, message())
-            } else {
-                member.sendWhenDurable(voter.instance, message())
-            }
-        }
+    private fun retryMs(answerMs: Long): Long {
+        val spreadMs = member.random.nextLong(member.timings.retryMinMs, member.timings.retryMaxMs + 1)
+        return member.nowMs + (answerMs + spreadMs) * patience()
+    }
 
-    private fun retryMs(answerMs: Long) =
-        member.nowMs + answerMs + member.random.nextLong(member.timings.retryMinMs, member.timings.retryMaxMs + 1)
+    /**
+     * By how much longer than at first to wait. Members that are overloaded answer late, and a campaign that replaces one
+     * whose answers are still under way wins no votes and adds to their load.
+     */
+    private fun patience(): Long = 1L shl (GROWTH * (campaigns - QUICK_CAMPAIGNS)).coerceIn(0, MAX_DOUBLINGS)
 
     /** Of two campaigns at once the one of the lower name goes on, if its log is no worse. */
     private fun isPreferredTo(request: PreVoteRequest): Boolean {
-        val own = campaign ?: return false
+        val own = survey ?: return false
         val isSame = request.lastTerm == member.log.lastTerm && request.lastIndex == member.log.lastIndex
-        return isSame && member.self.instance < request.from.instance && member.nowMs - own.sinceMs < PRE_VOTE_WAIT_MS
+        return isSame && member.self.instance < request.from.instance &&
+            member.nowMs - own.sinceMs < PRE_VOTE_WAIT_MS * patience()
     }
 
     private fun isBound() = isLeading() || member.nowMs - member.lastHeardMs < member.timings.electionMinMs
@@ -146,15 +166,23 @@
 
     private class Campaign(
         val term: Long,
-        val isPreVote: Boolean,
         val sinceMs: Long,
+        grants: Set<DiskIdentity> = emptySet(),
         val voteSequence: Long = 0,
-        val grants: MutableSet<DiskIdentity> = mutableSetOf(),
-    )
+    ) {
+        val grants = grants.toMutableSet()
+    }
 
     private companion object {
         /** Time for the answers, which for a vote includes a write at the voter. */
         const val PRE_VOTE_WAIT_MS = 50L
         const val VOTE_WAIT_MS = 150L
+
+        /** One campaign that fails is most often one of two at the same time. */
+        const val QUICK_CAMPAIGNS = 1
+
+        /** The wait for votes is then up to 2.8 s, longer than any delay that a leader could lead with. */
+        const val MAX_DOUBLINGS = 3
+        const val GROWTH = 2
     }
 }
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -154,7 +154,7 @@
         check(leadership == null) { "two leaders in term ${message.term}" }
         member.leader = message.from
         member.lastHeardMs = member.nowMs
-        election.postpone()
+        election.leaderHeard()
         return true
     }
 
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
@@ -52,7 +52,7 @@
     data class Campaigning(
         val term: Long,
         val isPreVote: Boolean,
-        /** Votes that the campaign before, which this one replaces, had got. */
+        /** Votes of the same kind that this member had got before. */
         val grantsBefore: Int,
         val needed: Int,
     ) : RaftOutput()
--- a/state/src/test/kotlin/samphirechute/state/raft/RestartSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/raft/RestartSpec.kt
@@ -7,8 +7,11 @@
 import kotlin.test.assertTrue
 
 class RestartSpec {
-    private fun settled(timings: RaftTimings) =
-        SimCluster(seed = 7, timings = timings).apply { assertTrue(runUntil(3_000) { isSettled }, describe()) }
+    private fun settled(
+        timings: RaftTimings,
+        seed: Long = 7,
+        names: List<String> = listOf("a", "b", "c"),
+    ) = SimCluster(seed, names, timings).apply { assertTrue(runUntil(3_000) { isSettled }, describe()) }
 
     private fun SimCluster.restartAll() = nodes.values.forEach { it.restart() }
 
@@ -39,6 +42,41 @@
         }
     }
 
+    @Nested
+    inner class WhereMembersAnswerSlowly {
+        private val timings = RaftTimings(hasLeaseReads = false)
+
+        /** Guards against campaigns that each begin before the answers to the one before have come. */
+        @Test
+        fun `a leader is elected though answers take longer than the first wait for them`() {
+            for (oneWayMs in listOf(60L..80L, 100L..140L, 150L..200L, 200L..280L)) {
+                for (seed in 1L..SEEDS) {
+                    val cluster = settled(timings, seed, SIX)
+                    cluster.network.minDelayMs = oneWayMs.first
+                    cluster.network.maxDelayMs = oneWayMs.last - oneWayMs.first
+                    cluster.restartAll()
+                    val isLed = cluster.runUntil(LED_WITHIN_MS) { cluster.leader?.raft?.isLeader == true }
+                    assertTrue(isLed, "seed $seed, $oneWayMs ms one way: ${cluster.describe()}")
+                }
+            }
+        }
+
+        /** Guards members that have just started against more campaigns than they can answer. */
+        @Test
+        fun `campaigns that fail become rarer`() {
+            val cluster = settled(timings, names = SIX)
+            var campaigns = 0
+            cluster.onOutput = { _, output -> if (output is RaftOutput.Campaigning) campaigns++ }
+            cluster.restartAll()
+            cluster.network.lossPercent = 100
+            cluster.run(FIRST_MS)
+            campaigns = 0
+            cluster.run(FIRST_MS)
+            val most = SIX.size * FIRST_MS / timings.electionMaxMs
+            assertTrue(campaigns <= most, "$campaigns campaigns in $FIRST_MS ms, at most $most are due")
+        }
+    }
+
     @Nested
     inner class WhereReadsRestOnLeases {
         @Test
@@ -50,4 +88,13 @@
             assertTrue(!isLed, cluster.describe())
         }
     }
+
+    private companion object {
+        val SIX = listOf("a", "b", "c", "d", "e", "f")
+        const val SEEDS = 20L
+
+        /** A third of the 15 s in which the grown deployments have to recover from a loss of all members. */
+        const val LED_WITHIN_MS = 5_000L
+        const val FIRST_MS = 3_000L
+    }
 }
