Send one report of ended requests at a time, and ask a silent coordinator less often

Cause: beside a coordinator that answers late, each request that ended opened a connection of its own for its report, since the one before was still unanswered, and each instance asked again 400 ms after every silence. Change: what ends while a report is under way goes into the next one; after a report without an answer the next one follows 400 ms later, not with the next request that ends. Each silence of the coordinator that follows another is twice as long, up to 1.6 s; an answer or another leader ends it. Evidence: PlaceClientSpec for the reports, CoordinatorSilenceSpec for the questions.

--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlaceClient.kt
@@ -43,11 +43,17 @@
         OnDemandTimer(timer, TICK_MS, { localWaiting.isNotEmpty() }) { answerLocal(local.tick(timer.nowMs())) }
     private var isWholeDue = false
     private var isFlushDue = false
-    private var avoidUntilMs = Long.MIN_VALUE / 2
+
+    /** True while a report is under way; what ends meanwhile goes into the next one. */
+    private var isReporting = false
+    private val silence = CoordinatorSilence()
     private var lastCoordinator: InstanceId? = null
 
     fun start() {
-        watcher.onLeaderChanged = { coordinator()?.let(::noteCoordinator) }
+        watcher.onLeaderChanged = {
+            silence.end()
+            coordinator()?.let(::noteCoordinator)
+        }
     }
 
     /** [onPlaced] gets the decision and who made it; it is not called after [withdraw]. */
@@ -87,7 +93,7 @@
     }
 
     private fun coordinator(): InstanceId? {
-        if (timer.nowMs() < avoidUntilMs) return null
+        if (silence.isAvoided(timer.nowMs())) return null
         val leader = watcher.leader?.takeIf { watcher.isReachable(it) }
         return leader ?: watcher.reachable().firstOrNull()
     }
@@ -103,7 +109,7 @@
         client.call(address, ClusterRoutes.place, request, ASK_TIMEOUT_MS) { result ->
             result.fold({ answered(coordinator, it, request, mayRedirect, onPlaced) }) {
                 log.event("coordinator_silent", mapOf("instance" to coordinator, "error" to it.detail))
-                avoidUntilMs = timer.nowMs() + AVOID_MS
+                silence.noticed(timer.nowMs())
                 withdrawn += request.request
                 placeLocally(request, onPlaced)
             }
@@ -117,6 +123,7 @@
         mayRedirect: Boolean,
         onPlaced: (Placement, String) -> Unit,
     ) {
+        silence.end()
         val placement = reply.placement
         val other = reply.coordinator
         when {
@@ -197,35 +204,40 @@
         flushSoon()
     }
 
-    private fun flushSoon() {
+    private fun flushSoon(afterMs: Long = FLUSH_MS) {
         if (isFlushDue) return
         isFlushDue = true
-        timer.after(FLUSH_MS) {
+        timer.after(afterMs) {
             isFlushDue = false
             flush()
         }
     }
 
     private fun flush() {
+        if (isReporting) return
         val address = (lastCoordinator ?: coordinator())?.address ?: return drop()
         val placed = if (isWholeDue) running.values.toList() else own.toList()
         val message = PlaceEnds(self, results.toList(), placed, withdrawn.toList(), isWholeDue)
         drop()
+        isReporting = true
         client.call(address, ClusterRoutes.ends, message, REPORT_TIMEOUT_MS) { result ->
-            result.fold({ }) { sendAgain(message) }
+            isReporting = false
+            result.fold({ if (isReportDue()) flushSoon() }) { sendAgain(message) }
         }
     }
 
+    private fun isReportDue() = isWholeDue || results.isNotEmpty() || own.isNotEmpty() || withdrawn.isNotEmpty()
+
     /** An end that is not heard keeps its place taken until the deadline; receiving it twice does no harm. */
     private fun sendAgain(message: PlaceEnds) {
         if (results.size + message.results.size > MAX_KEPT) {
             log.event("ends_dropped", mapOf("results" to message.results.size))
-            return
+        } else {
+            results += message.results
+            withdrawn += message.withdrawn.filter { it !in running }
+            isWholeDue = isWholeDue || message.isWhole
         }
-        results += message.results
-        withdrawn += message.withdrawn.filter { it !in running }
-        isWholeDue = isWholeDue || message.isWhole
-        timer.after(AVOID_MS) { flushSoon() }
+        flushSoon(REPORT_AGAIN_MS)
     }
 
     private fun drop() {
@@ -243,8 +255,8 @@
         const val ASK_TIMEOUT_MS = 100L
         const val REPORT_TIMEOUT_MS = 250L
 
-        /** After a question without an answer, the instance decides by itself for so long. */
-        const val AVOID_MS = 400L
+        /** After a report without an answer. */
+        const val REPORT_AGAIN_MS = 400L
         const val RETRY_MS = 300L
         const val MAX_KEPT = 1_000
         val log = KeyValueLog("place")
--- /dev/null
+++ b/serving/src/test/kotlin/samphirechute/serving/placement/CoordinatorSilenceSpec.kt
@@ -0,0 +1,44 @@
+package samphirechute.serving.placement
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class CoordinatorSilenceSpec {
+    private val silence = CoordinatorSilence()
+
+    /** Asks as soon as it may, for [forMs], and gets no answer; gives how often it asked. */
+    private fun questions(forMs: Long) =
+        (0 until forMs).count { nowMs ->
+            val isAsked = !silence.isAvoided(nowMs)
+            if (isAsked) silence.noticed(nowMs)
+            isAsked
+        }
+
+    @Nested
+    inner class WhileNobodyAnswers {
+        /** Guards a coordinator that has just started against a fleet that asks faster than it can answer. */
+        @Test
+        fun `questions become rarer`() {
+            assertTrue(questions(forMs = 8_000) <= 8)
+        }
+
+        @Test
+        fun `questions that were asked together count as one`() {
+            repeat(50) { silence.noticed(nowMs = 1_000) }
+            assertFalse(silence.isAvoided(nowMs = 1_400))
+        }
+    }
+
+    @Nested
+    inner class OnceThereIsAnAnswer {
+        @Test
+        fun `the next question is asked at once, and the next silence is short again`() {
+            questions(forMs = 8_000)
+            silence.end()
+            assertEquals(1, questions(forMs = 400))
+        }
+    }
+}
--- a/serving/src/test/kotlin/samphirechute/serving/placement/PlaceClientSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/placement/PlaceClientSpec.kt
@@ -153,6 +153,23 @@
                 assertNotNull(fixture.report { it.ends("r-1") })
                 assertTrue(fixture.reports.none { it.ends("r-1") })
             }
+
+        /** Guards a coordinator that is slow against a connection for each request that ends. */
+        @Test
+        fun `wait for the answer to the one before, and then go together`() =
+            Fixture().use { fixture ->
+                repeat(ENDS) { fixture.place("r-$it") }
+                fixture.isTakingReports = false
+                fixture.end("r-0")
+                assertNotNull(fixture.report { it.ends("r-0") })
+                for (number in 1 until ENDS) {
+                    fixture.end("r-$number")
+                    fixture.place("between-$number")
+                }
+                fixture.isTakingReports = true
+                val last = assertNotNull(fixture.report { it.ends("r-${ENDS - 1}") })
+                assertTrue((0 until ENDS).all { last.ends("r-$it") })
+            }
     }
 
     @Nested
@@ -177,5 +194,6 @@
         const val CONNECT_TIMEOUT_MS = 400
         const val POLL_MS = 20L
         const val LIMIT_MS = 5_000L
+        const val ENDS = 10
     }
 }
