Withhold messages of the log from a member that confirms none

Cause: a member that has no power or answers late got each vote, greeting and heartbeat over a connection of its own, up to 60 at a time for each of the others. Change: 16 at most are unanswered; the log sends what matters again.

--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
@@ -59,6 +59,7 @@
         }
     private val membership = MembershipKeeper(2 * settings.toleratedLosses + 1) { driver.propose(it) { } }
     private val adoptions = PendingAdoptions(::propose)
+    private val unanswered = UnansweredMessages()
     private var lastContactMs = timer.nowMs()
 
     /** Called after the committed state has changed. */
@@ -216,7 +217,8 @@
         message: RaftMessage,
     ) {
         val address = to.address ?: return
-        client.call(address, ClusterRoutes.raft, message, SEND_TIMEOUT_MS) { }
+        if (!unanswered.take(to)) return
+        client.call(address, ClusterRoutes.raft, message, SEND_TIMEOUT_MS) { unanswered.giveBack(to) }
     }
 
     private fun mayFound() = settings.isFirstStart && settings.peerAddress in settings.seeds
