--- a/net/src/main/kotlin/samphirechute/net/HttpServer.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -49,7 +49,7 @@
             ServerBootstrap()
                 .group(loop.group)
                 .channel(NioServerSocketChannel::class.java)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_BACKLOG, limits.backlog)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_MARK, HIGH_MARK))
@@ -104,7 +104,6 @@
         }
 
     private companion object {
-        const val BACKLOG = 1_024
         const val CHUNK_BYTES = 64 * 1024
         const val LOW_MARK = 32 * 1024
         const val HIGH_MARK = 128 * 1024
--- a/net/src/main/kotlin/samphirechute/net/ServerLimits.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerLimits.kt
@@ -8,4 +8,6 @@
     val maxConnections: Int = 4_096,
     val readTimeoutMs: Long = 10_000,
     val keepAliveMs: Long = 60_000,
+    /** Connections that wait to be accepted; further ones are not established. */
+    val backlog: Int = 1_024,
 )
