Acknowledge that an upstream leaves only once a majority of the store knows it

What callers could see: requests to an upstream whose leaving had been acknowledged 3.5 s before (DRAIN). Cause: a control instance counts as in touch for 0.7 s after the last word of its leader, and what it is told in that time it alone knows. An upstream that reports only its end does not repeat it; one that drains does, but is refused from then on. A control instance that did not know the upstream, as after a restart, acknowledged its end and told nobody. Change: the word goes to all members of the store, and is acknowledged when a majority has taken it, else refused after 0.8 s. LeavingDeskSpec: the cut-off instance, the unknown upstream; it needs the new class, so it could not be run on the code before.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -21,6 +21,7 @@
     val read = PeerRoute("/peer/v1/configuration", Unit.serializer(), ReadReply.serializer())
     val watch = PeerRoute("/peer/v1/watch", WatchRequest.serializer(), WatchReply.serializer())
     val config = PeerRoute("/peer/v1/watch/configuration", ConfigRequest.serializer(), ConfigReply.serializer())
+    val leaving = PeerRoute("/peer/v1/leaving", LeavingNotice.serializer(), Unit.serializer())
     val place = PeerRoute("/peer/v1/place", PlaceRequest.serializer(), PlaceReply.serializer())
     val await = PeerRoute("/peer/v1/place/await", AwaitRequest.serializer(), PlaceReply.serializer())
     val ends = PeerRoute("/peer/v1/place/ends", PlaceEnds.serializer(), Unit.serializer())
@@ -93,6 +94,13 @@
     val config: PackedConfig? = null,
 )
 
+/** An upstream leaves or has left. [record] is null when the sender has never heard of it before. */
+@Serializable
+data class LeavingNotice(
+    val upstream: UpstreamId,
+    val record: UpstreamRecord?,
+)
+
 @Serializable
 data class DrainedDomains(
     val version: Long,
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -1,18 +1,23 @@
 package samphirechute.serving.control
 
+import samphirechute.core.InstanceId
+import samphirechute.core.UpstreamId
 import samphirechute.core.log.KeyValueLog
 import samphirechute.net.EventLoop
 import samphirechute.net.HttpClient
 import samphirechute.net.peer.PeerApi
 import samphirechute.net.peer.PeerClient
 import samphirechute.routing.placing.Placer
+import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.ConfigReader
 import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.LeavingNotice
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamRecord
 import samphirechute.serving.cluster.UpstreamView
 import samphirechute.serving.cluster.WatchSink
 import samphirechute.serving.cluster.Watcher
+import samphirechute.serving.cluster.address
 import samphirechute.state.store.AdoptedConfig
 
 /** A control instance: the durable state, the announcements of upstreams, and the placement of requests. */
@@ -32,6 +37,7 @@
     private val watches = WatchDesk(timer, store, registrar, life)
     private val places = PlaceDesk(timer, store, placer, settings.announceEveryMs, watches::isGone, registrar::leaving)
     private val watcher = Watcher(settings, timer, client, isEntry = false, Sink())
+    private val leavings = LeavingDesk(timer, registrar, Members())
 
     /** The paths for other instances. */
     val peers =
@@ -39,6 +45,10 @@
             store.serve(it)
             watches.serve(it)
             places.serve(it)
+            it.on(ClusterRoutes.leaving) { notice, exchange ->
+                leavings.noticed(notice)
+                exchange.answer(Unit)
+            }
         }
 
     fun start() {
@@ -51,6 +61,17 @@
         log.event("control_started", mapOf("instance" to settings.instance, "name" to settings.name))
     }
 
+    /** An upstream says that it leaves; [onResult] gets whether all instances in touch will hear of it. */
+    fun leaves(
+        record: UpstreamRecord,
+        onResult: (isAcknowledged: Boolean) -> Unit,
+    ) = leavings.leaves(record, onResult)
+
+    fun left(
+        upstream: UpstreamId,
+        onResult: (isAcknowledged: Boolean) -> Unit,
+    ) = leavings.left(upstream, onResult)
+
     override fun close() = store.close()
 
     private fun stateChanged() {
@@ -68,6 +89,20 @@
         watches.recordsChanged()
     }
 
+    private inner class Members : StoreMembers {
+        override val isInTouch get() = store.isInTouch
+        override val others get() = store.members - settings.instance
+
+        override fun tell(
+            member: InstanceId,
+            notice: LeavingNotice,
+            onResult: (isTaken: Boolean) -> Unit,
+        ) {
+            val address = member.address ?: return onResult(false)
+            client.call(address, ClusterRoutes.leaving, notice, NOTICE_TIMEOUT_MS) { onResult(it.isOk) }
+        }
+    }
+
     /** Only announcements are taken from other control instances; the durable state comes through the log. */
     private inner class Sink : WatchSink {
         override val revision = Long.MAX_VALUE
@@ -82,6 +117,7 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MS = 400
+        const val NOTICE_TIMEOUT_MS = 600L
         val log = KeyValueLog("control")
     }
 }
