Let a fleet come back to a lost control instance spread out, and not several times a second

Cause: each entry instance tried each lost control instance again 150 ms after every failure, ten times. Change: the pause doubles from 150 ms to 1.2 s, and a random half of it is spared. Evidence: ReconnectDelaySpec.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -8,6 +8,7 @@
 import samphirechute.net.peer.PeerClient
 import samphirechute.net.peer.PeerError
 import samphirechute.state.store.AdoptedConfig
+import kotlin.random.Random
 
 /** What a process learns from the control instances. Revisions and versions only grow within one life of a process. */
 interface WatchSink {
@@ -35,6 +36,7 @@
     private val client: PeerClient,
     private val isEntry: Boolean,
     private val sink: WatchSink,
+    private val random: Random = Random.Default,
 ) {
     private val log = KeyValueLog("watch")
     private val choice = FollowChoice(isEntry)
@@ -234,7 +236,7 @@
                 return
             }
             follow()
-            timer.after(if (failures > FAST_RETRIES) SLOW_RETRY_MS else RETRY_MS) { ask() }
+            timer.after(reconnectDelayMs(failures, random)) { ask() }
         }
     }
 
@@ -249,8 +251,6 @@
         /** Gathers changes that come together. */
         const val PAUSE_MS = 20L
         const val RETRY_MS = 150L
-        const val SLOW_RETRY_MS = 700L
-        const val FAST_RETRIES = 10
         const val FORGET_AFTER = 200
     }
 }
