Heed an upstream that says that it leaves before its record has come

Cause: an answer that said that its upstream leaves was passed over when the entry instance held no record of the upstream, as shortly after a start; a record that came later made it one to send to. Found by reading. Change: the word is kept, and holds for the life that the record names. UpstreamNoticesSpec: not run on the code before.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/UpstreamNotices.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/UpstreamNotices.kt
@@ -16,16 +16,32 @@
 ) {
     private val turnedAwayUntilMs = HashMap<UpstreamId, Long>()
 
+    /** Upstreams that said that they leave before their records came; the life that each record names is the one that leaves. */
+    private val leavingUnknown = HashSet<UpstreamId>()
+
     /** An upstream without a record may have announced itself so lately that word of it is still under way. */
     fun mayReceive(upstream: UpstreamId): Boolean {
         if (clock.nowMs() < (turnedAwayUntilMs[upstream] ?: Long.MIN_VALUE)) return false
-        val record = table[upstream] ?: return true
+        if (table[upstream] != null && leavingUnknown.remove(upstream)) leaving(upstream)
+        val record = table[upstream] ?: return upstream !in leavingUnknown
         return record.state == UpstreamState.READY && record.failureDomain !in drains().domains
     }
 
     /** An answer of the upstream says that it leaves; gives the start of the life that said so. */
     fun leaving(upstream: UpstreamId): Long? {
-        val record = table[upstream] ?: return null
+        val record = table[upstream]
+        if (record == null) {
+            if (leavingUnknown.add(upstream)) {
+                log.event(
+                    "upstream_leaving",
+                    mapOf(
+                        "upstream" to upstream,
+                        "born_ms" to null,
+                    ),
+                )
+            }
+            return null
+        }
         if (record.state == UpstreamState.READY) {
             log.event("upstream_leaving", mapOf("upstream" to upstream, "born_ms" to record.bornMs))
             table.merge(record.copy(state = UpstreamState.DRAINING), clock.nowMs())
--- /dev/null
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/UpstreamNoticesSpec.kt
@@ -0,0 +1,58 @@
+package samphirechute.serving.cluster
+
+import org.junit.jupiter.api.Nested
+import samphirechute.core.FailureDomain
+import samphirechute.core.HostPort
+import samphirechute.core.ServiceName
+import samphirechute.core.UpstreamId
+import samphirechute.core.time.VirtualTimer
+import kotlin.test.Test
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class UpstreamNoticesSpec {
+    private val timer = VirtualTimer()
+    private val table = UpstreamTable()
+    private val notices = UpstreamNotices(timer, table, { DrainedDomains(0, emptySet()) }) {}
+    private val id = UpstreamId("u-1")
+
+    private fun announce(bornMs: Long) =
+        table.merge(
+            UpstreamRecord(
+                id,
+                ServiceName("desk"),
+                HostPort("127.0.0.1", 2),
+                FailureDomain("a"),
+                slots = 4,
+                UpstreamState.READY,
+                bornMs,
+            ),
+            timer.nowMs(),
+        )
+
+    @Nested
+    inner class AnUpstreamWithoutARecord {
+        @Test
+        fun `may receive, since word of it may be under way`() = assertTrue(notices.mayReceive(id))
+
+        /** Guards against requests to an upstream that said that it leaves before this instance had heard of it. */
+        @Test
+        fun `may not once it has said that it leaves, also when its record comes late`() {
+            notices.leaving(id)
+            assertFalse(notices.mayReceive(id))
+            announce(bornMs = 5)
+            assertFalse(notices.mayReceive(id))
+            announce(bornMs = 5)
+            assertFalse(notices.mayReceive(id))
+        }
+
+        @Test
+        fun `may again in a later life`() {
+            notices.leaving(id)
+            announce(bornMs = 5)
+            assertFalse(notices.mayReceive(id))
+            announce(bornMs = 6)
+            assertTrue(notices.mayReceive(id))
+        }
+    }
+}
