Send a configuration to entry instances before it is acknowledged

Cause: an acknowledgement said that a majority holds the change, while entry instances still had to hear of it and to fetch it. Change: the leader's answer to an entry instance carries the content, which spares the question for it; the answers to a fleet that waits for the same news are encoded once. The leader acknowledges once the instances that follow it have been sent the revision, or after 250 ms. A configuration that comes is in force at once, not in the next turn of the loop.

--- a/net/src/main/kotlin/samphirechute/net/peer/PeerApi.kt
+++ b/net/src/main/kotlin/samphirechute/net/peer/PeerApi.kt
@@ -64,8 +64,12 @@
     private val exchange: Exchange,
     private val route: PeerRoute<*, A>,
 ) {
-    fun answer(reply: A) =
-        exchange.respond(OK, "application/json", PeerJson.encodeToString(route.reply, reply).encodeToByteArray())
+    fun answer(reply: A) = answerEncoded(encode(reply))
+
+    fun encode(reply: A): ByteArray = PeerJson.encodeToString(route.reply, reply).encodeToByteArray()
+
+    /** Answers with the result of [encode], which may serve several exchanges. */
+    fun answerEncoded(reply: ByteArray) = exchange.respond(OK, "application/json", reply)
 
     /** Called when the other instance gives up on the answer. */
     fun onAborted(action: () -> Unit) {
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -72,8 +72,10 @@
     val life: Long,
     val recordsVersion: Long,
     val records: List<UpstreamRecord> = emptyList(),
-    /** The newest revision that the control instance holds; its content is fetched apart, from one instance only. */
+    /** The newest revision that the control instance holds. Its content comes from the leader, or is fetched apart. */
     val revision: Long = 0,
+    /** The content of [revision], for an entry instance that has not heard of it from the leader, which sends this. */
+    val config: PackedConfig? = null,
     val drains: DrainedDomains? = null,
     val leader: InstanceId? = null,
     val members: List<InstanceId> = emptyList(),
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -27,8 +27,8 @@
 
 /**
  * Follows control instances: one open question to each, which is answered when there is news or after a second. So news
- * arrives at once, and an instance that is silent is noticed within two seconds. The content of a configuration is fetched
- * from one of them only, and an entry instance takes the records of upstreams from two.
+ * arrives at once, and an instance that is silent is noticed within two seconds. The content of a configuration comes from
+ * the leader, or else is fetched from one of them only; an entry instance takes the records of upstreams from two.
  */
 class Watcher(
     private val settings: ServingSettings,
@@ -107,6 +107,7 @@
         reply.drains?.let { if (it.version > sink.drainVersion) sink.drained(it) }
         if (reply.records.isNotEmpty()) sink.upstreams(reply.records)
         learn(reply.members)
+        reply.config?.let { received(it, link) }
         fetchNewest()
         confirm()
     }
@@ -137,16 +138,24 @@
         reply: ConfigReply,
         source: Link,
     ) {
-        val config = reply.config?.unpack()
+        if (!received(reply.config, source)) return fetchElsewhere(source)
+        failedSource = null
+        confirm()
+        fetchNewest()
+    }
+
+    private fun received(
+        packed: PackedConfig?,
+        source: Link,
+    ): Boolean {
+        val config = packed?.unpack()
         if (config == null) {
-            log.warn("configuration_damaged", mapOf("from" to source.instance, "revision" to reply.config?.revision))
-            return fetchElsewhere(source)
+            log.warn("configuration_damaged", mapOf("from" to source.instance, "revision" to packed?.revision))
+            return false
         }
-        failedSource = null
         fetchedRevision = maxOf(fetchedRevision, config.revision)
         if (config.revision > sink.revision) sink.configured(config)
-        confirm()
-        fetchNewest()
+        return true
     }
 
     private fun fetchElsewhere(failed: Link) {
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -53,6 +53,7 @@
 
     fun start() {
         store.onChanged = ::stateChanged
+        store.whenSent = watches::whenSent
         store.start()
         stateChanged()
         registrar.start()
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreKeeper.kt
@@ -66,6 +66,9 @@
     var onChanged: () -> Unit = {}
     var onStopped: (String) -> Unit = {}
 
+    /** Runs an action once the configuration of a revision has been sent to the instances that follow this one. */
+    var whenSent: (revision: Long, action: () -> Unit) -> Unit = { _, action -> action() }
+
     val state: StoreState get() = driver.node.state
 
     /** The newest committed configuration. */
@@ -186,7 +189,9 @@
         onReply(
             when (outcome) {
                 is ProposalOutcome.Committed -> {
-                    CommandReply(CommandStatus.COMMITTED, outcome.result)
+                    val reply = CommandReply(CommandStatus.COMMITTED, outcome.result)
+                    if (command !is Command.AdoptConfig) return@propose onReply(reply)
+                    return@propose whenSent(command.revision) { onReply(reply) }
                 }
 
                 is ProposalOutcome.NotLeader -> {
@@ -229,7 +234,7 @@
 
         /** Callers move on after a second without an answer. */
         const val SUBMIT_MS = 900L
-        const val TRY_MS = 400L
+        const val TRY_MS = 600L
         const val RETRY_MS = 50L
         const val READ_TIMEOUT_MS = 800L
         const val SEND_TIMEOUT_MS = 1_000L
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchDesk.kt
@@ -21,6 +21,10 @@
 ) {
     private val waiting = LinkedHashMap<InstanceId, Question>()
     private val entriesMs = HashMap<InstanceId, Long>()
+
+    /** The newest revision in the answers to each entry instance. */
+    private val sent = HashMap<InstanceId, Long>()
+    private val heldBack = ArrayList<Held>()
     private var isDue = false
     private var areRecordsDue = false
     private var areEntryRecordsDue = false
@@ -32,6 +36,7 @@
             waiting.remove(request.from)?.timeout?.cancel()
             if (isNews(request) && !areOnlyRecordsDue(request)) {
                 exchange.answer(reply(request))
+                if (heldBack.isNotEmpty()) timer.after(0) { releaseHeldBack() }
             } else {
                 hold(request, exchange)
             }
@@ -48,6 +53,7 @@
         timer.after(0) {
             isDue = false
             answerNews { true }
+            releaseHeldBack()
         }
     }
 
@@ -70,14 +76,47 @@
         }
     }
 
-    private fun answerNews(isDue: (WatchRequest) -> Boolean) =
-        waiting.values.filter { isDue(it.request) && isNews(it.request) }.forEach(::answer)
+    /**
+     * Runs [action] once the entry instances that follow this one have been sent the configuration of [revision], or after a
+     * limit. All control instances may be lost right after a change was acknowledged; entry instances then hold it already.
+     */
+    fun whenSent(
+        revision: Long,
+        action: () -> Unit,
+    ) {
+        if (isSentToAll(revision)) return action()
+        val held = Held(revision, action)
+        heldBack += held
+        timer.after(SENT_LIMIT_MS) { if (heldBack.remove(held)) action() }
+    }
+
+    private fun isSentToAll(revision: Long): Boolean {
+        val nowMs = timer.nowMs()
+        return entriesMs.none { (entry, askedMs) -> nowMs - askedMs <= GONE_MS && (sent[entry] ?: 0) < revision }
+    }
+
+    private fun releaseHeldBack() {
+        val due = heldBack.filter { isSentToAll(it.revision) }
+        heldBack -= due.toSet()
+        due.forEach { it.action() }
+    }
+
+    /** Most of a fleet waits for the same news, which is encoded once. */
+    private fun answerNews(isDue: (WatchRequest) -> Boolean) {
+        val encoded = HashMap<WatchReply, ByteArray>()
+        for (question in waiting.values.filter { isDue(it.request) && isNews(it.request) }) {
+            val reply = reply(question.request)
+            end(question)
+            question.exchange.answerEncoded(encoded.getOrPut(reply) { question.exchange.encode(reply) })
+        }
+    }
 
     private val revision: Long get() = store.config?.revision ?: 0
 
     /** Entry instances that asked lately. */
     fun entries(): Int {
         entriesMs.values.removeIf { timer.nowMs() - it > ENTRY_KEEP_MS }
+        sent.keys.retainAll(entriesMs.keys)
         return entriesMs.size
     }
 
@@ -101,9 +140,13 @@
     }
 
     private fun answer(question: Question) {
+        end(question)
+        question.exchange.answer(reply(question.request))
+    }
+
+    private fun end(question: Question) {
         question.timeout.cancel()
         waiting.remove(question.request.from, question)
-        question.exchange.answer(reply(question.request))
     }
 
     private fun isNews(request: WatchRequest) =
@@ -118,11 +161,13 @@
     private fun reply(request: WatchRequest): WatchReply {
         val isKnown = request.life == life || request.recordsVersion == WatchRequest.NO_RECORDS
         val known = if (isKnown) request.recordsVersion else 0
+        if (request.isEntry) sent[request.from] = revision
         return WatchReply(
             life,
             registrar.table.version,
             registrar.table.changedAfter(known),
             revision,
+            store.config?.takeIf { store.isLeader && request.isEntry && request.revision < it.revision },
             drains().takeIf { it.version > request.drainVersion },
             store.leader,
             store.members,
@@ -140,6 +185,11 @@
                 .toSet(),
         )
 
+    private class Held(
+        val revision: Long,
+        val action: () -> Unit,
+    )
+
     private class Question(
         val request: WatchRequest,
         val exchange: PeerExchange<WatchReply>,
@@ -149,6 +199,9 @@
     private companion object {
         const val HOLD_MS = 1_000L
 
+        /** Entry instances ask again some 20 ms after each answer, and callers of operators wait for a second. */
+        const val SENT_LIMIT_MS = 250L
+
         /** Together a small part of the 2 s within which a leaving upstream must get no more requests. */
         const val RECORDS_MS = 60L
         const val ENTRY_RECORDS_MS = 300L
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -86,7 +86,7 @@
     private fun isInformed() = watcher.isConfirmed || timer.nowMs() - startedMs > CONFIRM_WAIT_MS
 
     private fun configured() {
-        view.config?.let { if (isInformed()) desk.configured(it) }
+        view.config?.takeIf { it.revision != desk.revision && isInformed() }?.let(desk::configured)
     }
 
     private inner class Sink : WatchSink {
@@ -95,7 +95,7 @@
 
         override fun configured(config: AdoptedConfig) {
             view.configured(config)
-            timer.after(0) { configured() }
+            configured()
             timer.after(CONFIRM_WAIT_MS) { configured() }
         }
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestDesk.kt
@@ -20,6 +20,8 @@
     private val held = LinkedHashMap<Exchange, Held>()
     private var table: RouteTable? = null
 
+    val revision: Long? get() = table?.config?.revision
+
     /** Requests that have no final answer yet. */
     var running = 0
         private set
--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -64,6 +64,18 @@
             assertEquals(listOf(CONFIG_7), sink.configs)
         }
 
+        @Test
+        fun `a content that comes with the word of its revision is not fetched`() {
+            controls.forEach {
+                it.config = CONFIG_7
+                it.isSendingContent = true
+            }
+            start()
+            await { watcher.isConfirmed }
+            assertEquals(0, onLoop { controls.sumOf { it.fetches } })
+            assertEquals(listOf(CONFIG_7), sink.configs)
+        }
+
         @Test
         fun `one that does not give its content is passed over`() {
             controls.forEach { it.config = CONFIG_7 }
@@ -199,6 +211,7 @@
         var records = emptyList<UpstreamRecord>()
         var isCurrent = true
         var isGivingContent = true
+        var isSendingContent = false
         var asked = 0
         var fetches = 0
         var givenRecords = 0
@@ -226,7 +239,16 @@
             val given = records.takeIf { request.recordsVersion < 1 }.orEmpty()
             givenRecords += given.size
             exchange.answer(
-                WatchReply(life, 1, given, config?.revision ?: 0, leader = LEADER, isCurrent = isCurrent, entries = 1),
+                WatchReply(
+                    life,
+                    1,
+                    given,
+                    config?.revision ?: 0,
+                    config?.takeIf { isSendingContent && request.revision < it.revision }?.let(PackedConfig::of),
+                    leader = LEADER,
+                    isCurrent = isCurrent,
+                    entries = 1,
+                ),
             )
         }
     }
