--- a/serving/src/main/kotlin/samphirechute/serving/control/LeavingDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/LeavingDesk.kt
@@ -111,11 +111,11 @@
         private fun end(isAcknowledged: Boolean) {
             isEnded = true
             log.event(
-                "upstream_leaving",
+                "leaving_submitted",
                 mapOf(
                     "upstream" to id,
                     "state" to life?.state?.name?.lowercase(),
-                    "acknowledged" to isAcknowledged,
+                    "done" to isAcknowledged,
                     "taken_by" to taken,
                     "needed" to needed,
                     "ms" to timer.nowMs() - startedMs,
