--- a/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
+++ b/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
@@ -3,7 +3,10 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import org.junit.jupiter.api.Nested
+import java.net.InetSocketAddress
+import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -156,4 +159,32 @@
             }
         }
     }
+
+    @Nested
+    inner class AQueueThatIsFull {
+        /** Guards a server that is held up against calls that it takes long after their callers have given up. */
+        @Test
+        fun `establishes no more connections`() {
+            val isHeldUp = CountDownLatch(1)
+            LoopbackFixture(ServerLimits(backlog = BACKLOG), ::echo).use { fixture ->
+                fixture.loop.post { isHeldUp.await(LIMIT_S, TimeUnit.SECONDS) }
+                val sockets = List(2 * BACKLOG) { Socket() }
+                val established =
+                    sockets.count { socket ->
+                        val target = InetSocketAddress(fixture.address.host, fixture.address.port)
+                        runCatching { socket.connect(target, CONNECT_MS) }.isSuccess
+                    }
+                isHeldUp.countDown()
+                sockets.forEach { it.close() }
+                assertTrue(established <= BACKLOG + 1, "$established were established")
+                assertEquals(200, fixture.call(ClientRequest(fixture.address, "GET", "/")).get()?.status)
+            }
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 8
+        const val CONNECT_MS = 50
+        const val LIMIT_S = 20L
+    }
 }
