Ask rarely whether one still is a voter, and prefer one of two campaigns for longer

Cause: a voter that had heard from no leader for 2 s asked each other member five times a second whether it still was one, and got an answer it had no use for: 450 questions in 3 s among six members, beside the elections that they wait for. Change: voters ask once a second; only a member with an empty log is answered. Of two campaigns at once the lower name goes on for as long as its wait for answers lasts, not for 50 ms.

--- a/state/src/main/kotlin/samphirechute/state/raft/Election.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Election.kt
@@ -46,7 +46,7 @@
         campaigns++
         dueMs = retryMs(PRE_VOTE_WAIT_MS)
         val grants = survey?.takeIf { it.term == member.term + 1 }?.grants.orEmpty()
-        val next = Campaign(member.term + 1, member.nowMs, grants)
+        val next = Campaign(member.term + 1, grants)
         member.emit(RaftOutput.Campaigning(next.term, isPreVote = true, grants.size, member.majority))
         survey = next
         val request = PreVoteRequest(member.identity, next.term, member.log.lastIndex, member.log.lastTerm)
@@ -125,7 +125,7 @@
         member.emit(RaftOutput.Campaigning(term, isPreVote = false, votesBefore, member.majority))
         member.save(HardState(term, member.identity))
         survey = null
-        ballot = Campaign(term, member.nowMs, voteSequence = member.disk.lastIssued)
+        ballot = Campaign(term, voteSequence = member.disk.lastIssued)
         val request = VoteRequest(member.identity, term, member.log.lastIndex, member.log.lastTerm)
         others().forEach { member.sendWhenDurable(it, request) }
     }
@@ -143,12 +143,12 @@
      */
     private fun patience(): Long = 1L shl (GROWTH * (campaigns - QUICK_CAMPAIGNS)).coerceIn(0, MAX_DOUBLINGS)
 
-    /** Of two campaigns at once the one of the lower name goes on, if its log is no worse. */
+    /** Of two campaigns at once the one of the lower name goes on, if its log is no worse, until its wait is over. */
     private fun isPreferredTo(request: PreVoteRequest): Boolean {
         val own = survey ?: return false
         val isSame = request.lastTerm == member.log.lastTerm && request.lastIndex == member.log.lastIndex
         return isSame && member.self.instance < request.from.instance &&
-            member.nowMs - own.sinceMs < PRE_VOTE_WAIT_MS * patience()
+            own.term == request.term && member.nowMs < dueMs
     }
 
     private fun isBound() = isLeading() || member.nowMs - member.lastHeardMs < member.timings.electionMinMs
@@ -166,7 +166,6 @@
 
     private class Campaign(
         val term: Long,
-        val sinceMs: Long,
         grants: Set<DiskIdentity> = emptySet(),
         val voteSequence: Long = 0,
     ) {
@@ -183,6 +182,8 @@
 
         /** The wait for votes is then up to 2.8 s, longer than any delay that a leader could lead with. */
         const val MAX_DOUBLINGS = 3
+
+        /** Doublings with each further campaign. */
         const val GROWTH = 2
     }
 }
--- a/state/src/main/kotlin/samphirechute/state/raft/Founding.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Founding.kt
@@ -31,7 +31,8 @@
         if (silentMs < limitMs) return
         if (mayFound && member.isEmpty && empty.size == member.peers.size) found()
         val last = lastHelloMs
-        if (last != null && member.nowMs - last < member.timings.helloMs) return
+        val everyMs = if (member.isVoter) member.timings.voterHelloMs else member.timings.helloMs
+        if (last != null && member.nowMs - last < everyMs) return
         lastHelloMs = member.nowMs
         empty.clear()
         val known = member.peers + member.voters.map { it.instance } - member.self.instance
@@ -41,7 +42,8 @@
     fun onHello(message: RaftMessage.Hello) {
         disks[message.from.instance] = message.from
         if (message.inReplyTo == null) {
-            member.send(message.from.instance, hello(message.from))
+            // Only a member with an empty log, which may found the store, needs to know about the logs of others.
+            if (message.isEmpty) member.send(message.from.instance, hello(message.from))
         } else if (message.inReplyTo == member.identity && message.isEmpty && message.from.instance in member.peers) {
             empty[message.from.instance] = message.member
         }
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
@@ -24,6 +24,8 @@
     /** A leader whose own write takes longer steps down; its followers cannot see that its disk hangs. */
     val diskStallMs: Long = 1_000,
     val helloMs: Long = 200,
+    /** A voter without a leader asks rarely, since its messages come beside those of the elections. */
+    val voterHelloMs: Long = 1_000,
     /** A voter that hears nothing for so long asks whether it still is one. */
     val removedMs: Long = 2_000,
     /** A member being added that takes longer to catch up is refused. */
--- a/state/src/test/kotlin/samphirechute/state/raft/RestartSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/raft/RestartSpec.kt
@@ -75,6 +75,20 @@
             val most = SIX.size * FIRST_MS / timings.electionMaxMs
             assertTrue(campaigns <= most, "$campaigns campaigns in $FIRST_MS ms, at most $most are due")
         }
+
+        @Test
+        fun `voters ask once a second whether they still are voters`() {
+            val cluster = settled(timings, names = SIX)
+            cluster.network.lossPercent = 100
+            cluster.run(FIRST_MS)
+            var questions = 0
+            cluster.onOutput = { _, output ->
+                if ((output as? RaftOutput.Send)?.message is RaftMessage.Hello) questions++
+            }
+            cluster.run(FIRST_MS)
+            val most = SIX.size * (SIX.size - 1) * FIRST_MS / 1_000
+            assertTrue(questions <= most, "$questions questions in $FIRST_MS ms, at most $most are due")
+        }
     }
 
     @Nested
