--- a/serving/src/main/kotlin/samphirechute/serving/cluster/UpstreamNotices.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/UpstreamNotices.kt
@@ -31,15 +31,7 @@
     fun leaving(upstream: UpstreamId): Long? {
         val record = table[upstream]
         if (record == null) {
-            if (leavingUnknown.add(upstream)) {
-                log.event(
-                    "upstream_leaving",
-                    mapOf(
-                        "upstream" to upstream,
-                        "born_ms" to null,
-                    ),
-                )
-            }
+            if (leavingUnknown.add(upstream)) log.event("upstream_leaving", mapOf("upstream" to upstream))
             return null
         }
         if (record.state == UpstreamState.READY) {
--- a/serving/src/main/kotlin/samphirechute/serving/control/LeavingDesk.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/LeavingDesk.kt
@@ -32,6 +32,7 @@
     private val registrar: Registrar,
     private val members: StoreMembers,
 ) {
+    /** What a majority knows of upstreams that leave. */
     private val known = HashMap<UpstreamId, Life>()
 
     /** An announcement that says that its upstream leaves. */
@@ -70,7 +71,8 @@
         if (life != null && known[id] == life) return onResult(true)
         val others = members.others
         val round = Round(id, life, needed = (others.size + 1) / 2, onResult)
-        if (round.isDone()) return
+        round.endIfTaken()
+        if (round.isEnded) return
         timer.after(LIMIT_MS) { round.expire() }
         others.forEach { member -> members.tell(member, LeavingNotice(id, record)) { if (it) round.taken() } }
     }
@@ -89,19 +91,18 @@
     ) {
         private val startedMs = timer.nowMs()
         private var taken = 0
-        private var isEnded = false
+        var isEnded = false
+            private set
 
         fun taken() {
             taken++
-            isDone()
+            endIfTaken()
         }
 
-        fun isDone(): Boolean {
-            if (!isEnded && taken >= needed) {
-                if (life != null) known[id] = life
-                end(true)
-            }
-            return isEnded
+        fun endIfTaken() {
+            if (isEnded || taken < needed) return
+            if (life != null) known[id] = life
+            end(true)
         }
 
         fun expire() {
