Have the test of a full queue wait until the loop stands still and until the queue is empty

Both are races of the test, traced by its order of events. Change: it waits for the loop to stand still before it connects, and for the server to have accepted what was established before the last call. The bound is the same.

--- a/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
+++ b/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
@@ -165,18 +165,28 @@
         /** Guards a server that is held up against calls that it takes long after their callers have given up. */
         @Test
         fun `establishes no more connections`() {
-            val isHeldUp = CountDownLatch(1)
+            val hasStopped = CountDownLatch(1)
+            val mayGoOn = CountDownLatch(1)
             LoopbackFixture(ServerLimits(backlog = BACKLOG), ::echo).use { fixture ->
-                fixture.loop.post { isHeldUp.await(LIMIT_S, TimeUnit.SECONDS) }
+                fixture.loop.post {
+                    hasStopped.countDown()
+                    mayGoOn.await(LIMIT_S, TimeUnit.SECONDS)
+                }
+                assertTrue(hasStopped.await(LIMIT_S, TimeUnit.SECONDS))
                 val sockets = List(2 * BACKLOG) { Socket() }
                 val established =
                     sockets.count { socket ->
                         val target = InetSocketAddress(fixture.address.host, fixture.address.port)
                         runCatching { socket.connect(target, CONNECT_MS) }.isSuccess
                     }
-                isHeldUp.countDown()
-                sockets.forEach { it.close() }
                 assertTrue(established <= BACKLOG + 1, "$established were established")
+                val isEmptied = CompletableFuture<Unit>()
+                fixture.loop.timer.every(POLL_MS) {
+                    if (fixture.server.acceptedConnections >= established) isEmptied.complete(Unit)
+                }
+                mayGoOn.countDown()
+                isEmptied.get(LIMIT_S, TimeUnit.SECONDS)
+                sockets.forEach { it.close() }
                 assertEquals(200, fixture.call(ClientRequest(fixture.address, "GET", "/")).get()?.status)
             }
         }
@@ -185,6 +195,7 @@
     private companion object {
         const val BACKLOG = 8
         const val CONNECT_MS = 50
+        const val POLL_MS = 5L
         const val LIMIT_S = 20L
     }
 }
