Log and measure the limits that upstreams name in their answers

Nothing in the code read Server-Limit, so logs could not tell whether a limit was unknown, known to one instance only, or exceeded by something else than first attempts. Each instance now keeps the newest evidence of each limit, logs limit_named, limit_ended and limit_unreadable with the request and the instance whose answer said so, and shows the limits that it believes and the age of their answers as metrics. No decision uses them yet.

--- a/net/src/main/kotlin/samphirechute/net/HeaderField.kt
+++ b/net/src/main/kotlin/samphirechute/net/HeaderField.kt
@@ -12,4 +12,7 @@
     val fields: List<HeaderField>,
 ) {
     operator fun get(name: String): String? = fields.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+
+    /** Returns the values of all fields named [name], in order. */
+    fun all(name: String): List<String> = fields.filter { it.name.equals(name, ignoreCase = true) }.map { it.value }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -11,6 +11,7 @@
 import samphirechute.serving.cluster.ClusterView
 import samphirechute.serving.cluster.ConfigReader
 import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.LimitRegistry
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamAvailability
 import samphirechute.serving.cluster.UpstreamRecord
@@ -55,6 +56,7 @@
                 protocol,
                 budget,
                 availability,
+                LimitRegistry(settings.instance, timer, registry),
                 RequestLog(registry),
             ),
         )
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -51,6 +51,7 @@
     private var silenceTimer: Subscription? = null
     private var upstream: UpstreamId? = null
     private var isSent = false
+    private var sentMs = startedMs
     private var isDone = false
 
     /** Time from the start to the first byte of the body, or of the first event that is no comment; null before it. */
@@ -97,6 +98,7 @@
 
     override fun onSending() {
         isSent = true
+        sentMs = context.timer.nowMs()
     }
 
     override fun onResponseHead(head: ResponseHead) {
@@ -104,6 +106,7 @@
         val upstreamAnswer = context.protocol.readAnswer(head)
         answer = upstreamAnswer
         if (upstreamAnswer.isLeaving) leavingBornMs = upstream?.let(context.availability::markLeaving)
+        if (upstreamAnswer.isOwn) upstream?.let { context.limits.observe(it, upstreamAnswer.limit, requestId, sentMs) }
         if (head.status in SUCCESS && (!upstreamAnswer.isSigned || upstreamAnswer.isEncoded)) fail("unsigned_answer")
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RelayContext.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayContext.kt
@@ -3,6 +3,7 @@
 import samphirechute.core.time.TimerService
 import samphirechute.net.HttpClient
 import samphirechute.routing.flow.RetryBudget
+import samphirechute.serving.cluster.LimitRegistry
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamAvailability
 import samphirechute.serving.placement.PlacementClient
@@ -16,5 +17,6 @@
     val protocol: RelayProtocol,
     val budget: RetryBudget,
     val availability: UpstreamAvailability,
+    val limits: LimitRegistry,
     val log: RequestLog,
 )
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
@@ -8,6 +8,7 @@
 import samphirechute.net.HeaderField
 import samphirechute.net.ResponseHead
 import samphirechute.net.ServerRequest
+import samphirechute.routing.limit.LimitStatement
 
 /**
  * Translates between the relay and HTTP messages: what it reads from requests and answers, and what it writes to them.
@@ -89,4 +90,8 @@
     val isLeaving: Boolean = false,
     /** For how long the upstream asks this instance to send no requests; null unless it turned one away. */
     val retryAfterMs: Long? = null,
-)
+    val limit: LimitStatement = LimitStatement.None,
+) {
+    /** False if the answer may come from something else than the upstream that the request was meant for. */
+    val isOwn: Boolean get() = !isMisdirected && (isSigned || isNotRun)
+}
