Keep the limits that upstreams name, summed over all instances

Callers saw nothing, but an upstream in need that named 1 request a second got 20 in 4 s: no code read Server-Limit, and what other answers say (Server-Leaving, Retry-After) goes to one instance, to the coordinator or into the record of the upstream. A limit binds all instances together, and ends with an answer, so it fits none of these.

Evidence: in the incident all arrivals were first attempts, granted by one coordinator to seven instances more than 3.6 s after the limit was named, without a line in any log. RequestLimitSpec failed (35 of 100 requests within 4 s, 11 allowed).

UpstreamLimits in routing/limit decides when a request may be sent. It believes the newest answer, by when its request was sent and when it came; of answers in unknown order the lower limit holds. The coordinator paces its grants to the limit. An instance that reads a limit reports it at once, the coordinator passes limits on with the records of upstreams, so that new coordinators and instances without one know them, and placers that do not see each other's requests use half of their share. A grant of a coordinator that does not know a limit is used only within that share. Upstreams without a due request are no candidates, so requests go elsewhere; when all have limits, a request that would wait too long is refused at once with a time to come back. Limited engines reserve no memory for others.

This works since whoever grants has seen all requests that it grants, and everybody else is bounded by a share of which the sum is half of the limit.

--- a/routing/src/main/kotlin/samphirechute/routing/limit/LimitBeliefs.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/limit/LimitBeliefs.kt
@@ -58,6 +58,7 @@
         known: LimitEvidence,
     ): Boolean =
         when {
+            evidence.request == known.request && evidence.instance == known.instance -> false
             evidence.sentMs >= known.answeredMs -> true
             evidence.answeredMs < known.sentMs -> false
             evidence.requestsPerS == known.requestsPerS -> evidence.answeredMs > known.answeredMs
--- a/routing/src/main/kotlin/samphirechute/routing/placing/EngineSelector.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EngineSelector.kt
@@ -32,6 +32,8 @@
     private val spreadSeed: Int?,
     /** How long the caller has waited, including the time in the queue. */
     private val waitedMs: Long = 0,
+    /** Engines with a limit reserve no memory, since each order to reserve, extend or release it is a request too. */
+    private val isLimited: (UpstreamLoad) -> Boolean = { false },
 ) {
     private val prefillMs = profile.prefillMs(request.promptTokens)
     private val helpers = candidates.filter(::canHelp)
@@ -223,7 +225,7 @@
         var missing = neededTokens - freeTokens(head)
         if (missing <= 0) return emptyMap()
         val reserved = LinkedHashMap<UpstreamLoad, Long>()
-        for (helper in helpers.sortedByDescending(::freeTokens)) {
+        for (helper in helpers.filterNot(isLimited).sortedByDescending(::freeTokens)) {
             if (missing <= 0) break
             val tokens = minOf(missing, (freeTokens(helper) * RESERVED_SHARE).toLong())
             if (tokens <= 0) break
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlacementRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlacementRequest.kt
@@ -71,6 +71,8 @@
         val helpers: List<PlacedHelper> = emptyList(),
         /** The predicted time to the first byte. */
         val firstByteMs: Long = 0,
+        /** The limits of upstreams that were kept by this grant. */
+        val limitsPerS: Map<UpstreamId, Double> = emptyMap(),
     ) : Placement()
 
     /** The request cannot be served in time; the caller may retry after [retryAfterMs]. */
@@ -101,6 +103,10 @@
     @SerialName("turned_away")
     TURNED_AWAY,
 
+    /** All open upstreams take requests at a limited rate, and the next one in time is not for this request. */
+    @SerialName("limited")
+    LIMITED,
+
     /** The expected wait is longer than the caller is expected to wait. */
     @SerialName("overloaded")
     OVERLOADED,
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -4,6 +4,7 @@
 import samphirechute.core.RequestId
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
+import samphirechute.routing.limit.UpstreamLimits
 
 /** The outcome of a request that was waiting: either granted or refused. */
 data class PlacementDecision(
@@ -24,6 +25,7 @@
      * Placers that don't share their state would otherwise all pack the same engine.
      */
     private val spreadSeed: Int? = null,
+    private val limits: UpstreamLimits = UpstreamLimits(),
 ) {
     /**
      * True while other placers grant the same upstreams, as happens without a leader. Requests then stay in their own
@@ -53,6 +55,7 @@
     /** Replaces the known upstreams. Upstreams that remain keep their load. */
     fun setUpstreams(upstreams: List<PlacementTarget>) {
         val ids = upstreams.map { it.id }.toSet()
+        loads.keys.filter { it !in ids }.forEach(limits::forget)
         loads.keys.retainAll(ids)
         upstreams.forEach { upstream ->
             val known = loads[upstream.id]
@@ -64,6 +67,7 @@
      * Returns the decision on a request, or null if it was queued; its decision is then returned by a later call.
      *
      * Requests that cannot be served, and those whose upstreams have all turned the instance away, are refused first.
+     * So are those that the limits of their upstreams would keep waiting for too long.
      * Others are tried at once, unless a waiting request precedes them. What cannot be placed now is queued, but only
      * if it is expected to be served before its caller gives up.
      */
@@ -77,26 +81,52 @@
         val shortestMs = open.minOfOrNull { turnedAway.remainingMs(request.instance, it.upstream.id, nowMs) } ?: 0
         if (shortestMs > 0) return RefusalPolicy.turnedAway(shortestMs)
         if (RefusalPolicy.isTooLarge(pool.profile, request)) return RefusalPolicy.tooLarge()
+        val maxWaitMs = RefusalPolicy.maxWaitMs(request)
+        limitedReturnMs(pool, request, open, maxWaitMs, nowMs)?.let { return RefusalPolicy.limited(it) }
         if (!pool.hasPrecedingRequest(request)) tryPlace(pool, request, nowMs)?.let { return it }
         val waitMs = pool.expectedWaitMs(request, nowMs)
-        val maxWaitMs = RefusalPolicy.maxWaitMs(request)
         if (maxWaitMs == 0L) return RefusalPolicy.expired()
         if (waitMs > maxWaitMs && !isLearning) return RefusalPolicy.overloaded(waitMs)
         pool.add(request, nowMs + maxWaitMs, nowMs)
         return null
     }
 
-    /** Records a request that another placer has granted, unless it is recorded already. */
+    /**
+     * Returns when the caller may come back if all of [open] have limits that keep the request waiting for longer than
+     * [maxWaitMs], otherwise null. Callers are given different times, so that they do not all come back for the same
+     * requests that the upstreams take.
+     */
+    private fun limitedReturnMs(
+        pool: PoolQueue,
+        request: PlacementRequest,
+        open: List<UpstreamLoad>,
+        maxWaitMs: Long,
+        nowMs: Long,
+    ): Long? {
+        if (open.isEmpty()) return null
+        val allowedPerS = open.sumOf { limits.allowedPerS(it.upstream.id) ?: return null }
+        val intervalMs = (MS_PER_SECOND / allowedPerS).toLong()
+        val firstMs = open.minOf { limits.waitMs(it.upstream.id, nowMs) }
+        val waitMs = firstMs + pool.countPreceding(request) * intervalMs
+        return if (waitMs > maxWaitMs) pool.promiseReturn(waitMs, intervalMs, nowMs) else null
+    }
+
+    /**
+     * Records a request that another placer has granted, unless it is recorded already. It counts against the limit of
+     * the upstream if it [isJustSent].
+     */
     fun recordPlacement(
         request: PlacementRequest,
         upstream: UpstreamId,
         nowMs: Long,
+        isJustSent: Boolean = false,
     ) {
         if (request.request in placements) return
         val load = loads[upstream] ?: return
         val profile = pools[request.service]?.profile?.engine
         val prefillMs = profile?.prefillMs(request.promptTokens) ?: 0.0
         commit(request, EngineSplit(listOf(load), prefillMs, 0.0), nowMs)
+        if (isJustSent) limits.charge(upstream, nowMs)
     }
 
     /** Releases a request that has ended and returns decisions on waiting requests that can use the free capacity. */
@@ -190,8 +220,10 @@
         val engine = pool.profile.engine
         if (engine == null) return placePlain(candidates, request, nowMs)
         val waitedMs = request.elapsedMs + pool.waitedMs(request.request, nowMs)
-        val split = EngineSelector(engine, candidates, request, nowMs, spreadSeed, waitedMs).select() ?: return null
-        commit(request, split, nowMs)
+        val split =
+            EngineSelector(engine, candidates, request, nowMs, spreadSeed, waitedMs, ::isLimited).select()
+                ?: return null
+        grant(request, split, nowMs)
         return toGranted(split)
     }
 
@@ -209,7 +241,7 @@
                 compareBy({ it.running }, { it.upstream.failureDomain != request.failureDomain }, { it.averageMs }),
             ) ?: return null
         val single = EngineSplit(listOf(chosen), 0.0, chosen.averageMs)
-        commit(request, single, nowMs)
+        grant(request, single, nowMs)
         return toGranted(single)
     }
 
@@ -224,7 +256,7 @@
     ): List<UpstreamLoad> {
         val open =
             open(request).filter {
-                !isAtColdLimit(it, profile, nowMs) &&
+                !isAtColdLimit(it, profile, nowMs) && limits.waitMs(it.upstream.id, nowMs) == 0L &&
                     turnedAway.remainingMs(request.instance, it.upstream.id, nowMs) == 0L
             }
         val reachable =
@@ -243,12 +275,16 @@
             it.upstream.service == request.service && it.upstream.isOpen && it.upstream.id !in request.excluded
         }
 
-    /** Returns whether the service has an open upstream that is not among [excluded]. */
+    /** Returns whether the service has an open upstream that is not among [excluded] and may get a request now. */
     fun hasOpen(
         service: ServiceName,
         excluded: Set<UpstreamId>,
+        nowMs: Long,
     ): Boolean =
-        loads.values.any { it.upstream.service == service && it.upstream.isOpen && it.upstream.id !in excluded }
+        loads.values.any {
+            it.upstream.service == service && it.upstream.isOpen && it.upstream.id !in excluded &&
+                limits.waitMs(it.upstream.id, nowMs) == 0L
+        }
 
     private fun isDoubtful(
         load: UpstreamLoad,
@@ -265,6 +301,17 @@
         nowMs: Long,
     ) = profile.coldRequestsPerS > 0 && load.recentGrants(nowMs) >= profile.coldRequestsPerS * COLD_SHARE
 
+    private fun isLimited(load: UpstreamLoad) = limits[load.upstream.id] != null
+
+    private fun grant(
+        request: PlacementRequest,
+        split: EngineSplit,
+        nowMs: Long,
+    ) {
+        commit(request, split, nowMs)
+        split.engines.forEach { limits.charge(it.upstream.id, nowMs) }
+    }
+
     private fun commit(
         request: PlacementRequest,
         split: EngineSplit,
@@ -336,7 +383,12 @@
             split.engines.drop(1).map {
                 PlacedHelper(it.upstream.id, it.upstream.address, split.reservedTokens[it] ?: 0L)
             }
-        return Placement.Granted(head.id, head.address, helpers, split.firstEventMs.toLong())
+        val limitsPerS =
+            split.engines
+                .mapNotNull { limits[it.upstream.id] }
+                .mapNotNull { evidence -> evidence.requestsPerS?.let { evidence.upstream to it } }
+                .toMap()
+        return Placement.Granted(head.id, head.address, helpers, split.firstEventMs.toLong(), limitsPerS)
     }
 
     /** A granted request that has not ended. [untilMs] is the time at which it is released without a report. */
@@ -360,5 +412,6 @@
 
         /** Share of a cold upstream's request rate that is granted. */
         const val COLD_SHARE = 0.9
+        const val MS_PER_SECOND = 1_000.0
     }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
@@ -11,6 +11,7 @@
 ) {
     private val waiting = LinkedHashMap<RequestId, Waiting>()
     private val endsMs = ArrayDeque<Long>()
+    private var promisedMs = 0L
 
     val size: Int get() = waiting.size
 
@@ -58,11 +59,27 @@
         nowMs: Long,
     ): Long {
         dropOldEnds(nowMs)
-        val before = waiting.values.count { it.request.priority <= request.priority }
+        val before = countPreceding(request)
         if (before == 0) return 0
         return (before + 1) * WINDOW_MS / maxOf(1, endsMs.size)
     }
 
+    /** Returns the number of waiting requests that are at least as urgent. */
+    fun countPreceding(request: PlacementRequest) = waiting.values.count { it.request.priority <= request.priority }
+
+    /**
+     * Returns the time after which a refused caller may come back: after [waitMs] at the earliest, and [intervalMs]
+     * after the caller that was refused before it.
+     */
+    fun promiseReturn(
+        waitMs: Long,
+        intervalMs: Long,
+        nowMs: Long,
+    ): Long {
+        promisedMs = minOf(maxOf(promisedMs + intervalMs, nowMs + waitMs), nowMs + LONGEST_RETURN_MS)
+        return promisedMs - nowMs
+    }
+
     private fun dropOldEnds(nowMs: Long) {
         while (endsMs.isNotEmpty() && endsMs.first() < nowMs - WINDOW_MS) endsMs.removeFirst()
     }
@@ -76,5 +93,8 @@
     private companion object {
         /** Ends that are older than this do not count in the estimate. */
         const val WINDOW_MS = 2_000L
+
+        /** Callers do not wait for longer than this to come back. */
+        const val LONGEST_RETURN_MS = 30_000L
     }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/RefusalPolicy.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/RefusalPolicy.kt
@@ -24,6 +24,9 @@
 
     fun turnedAway(leftMs: Long) = refused(RefusedReason.TURNED_AWAY, leftMs)
 
+    /** Refuses a request whose upstreams take the next one for it after [returnMs]. */
+    fun limited(returnMs: Long) = Placement.Refused(RefusedReason.LIMITED, returnMs.coerceAtLeast(SHORTEST_RETRY_MS))
+
     /** Refuses a request that would have to wait for about [waitMs], after which it may be retried. */
     fun overloaded(waitMs: Long) = refused(RefusedReason.OVERLOADED, waitMs)
 
--- a/routing/src/test/kotlin/samphirechute/routing/placing/PlacingFixture.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacingFixture.kt
@@ -6,13 +6,15 @@
 import samphirechute.core.RequestId
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
+import samphirechute.routing.limit.UpstreamLimits
 
 /** A [Placer] with engines and requests of one service, at times that the test sets. */
 internal class PlacingFixture(
     engines: Int,
     spreadSeed: Int? = null,
+    limits: UpstreamLimits = UpstreamLimits(),
 ) {
-    val placer = Placer(spreadSeed)
+    val placer = Placer(spreadSeed, limits)
     var nowMs = 1_000L
     private var nextRequest = 0
     private var upstreams = (0 until engines).map(::engine)
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -64,6 +64,8 @@
     val leader: InstanceId? = null,
     /** Upstreams that are leaving or have left, for a control instance that has restarted and may not know of them. */
     val departed: List<UpstreamRecord> = emptyList(),
+    /** The newest version of the limits of upstreams that the sender holds; [NO_RECORDS] as for [recordsVersion]. */
+    val limitsVersion: Long = NO_RECORDS,
 ) {
     companion object {
         const val NO_RECORDS = Long.MAX_VALUE
@@ -90,6 +92,9 @@
     val isCurrent: Boolean,
     /** The number of entry instances that follow this control instance. */
     val entries: Int,
+    val limitsVersion: Long = 0,
+    /** Limits of upstreams that were named, changed or ended. */
+    val limits: List<LimitNotice> = emptyList(),
 )
 
 /** Asks for the configuration if it is newer than [revision]. */
@@ -110,6 +115,19 @@
     val record: UpstreamRecord?,
 )
 
+/** What one answer said about the limit of an upstream. Ages count back from when the notice was sent. */
+@Serializable
+data class LimitNotice(
+    val upstream: UpstreamId,
+    /** Null if the answer named no limit. */
+    val requestsPerS: Double?,
+    val sentAgeMs: Long,
+    val answeredAgeMs: Long,
+    val request: RequestId,
+    /** The instance that got the answer. */
+    val instance: InstanceId,
+)
+
 /** The failure domains that operators have drained. [version] grows with each change. */
 @Serializable
 data class DrainedDomains(
@@ -140,6 +158,8 @@
     val withdrawn: List<RequestId> = emptyList(),
     /** True when [own] lists everything that the instance has running, as in the first report to a new coordinator. */
     val isWhole: Boolean = false,
+    /** What the instance has read in answers about the limits of upstreams. */
+    val limits: List<LimitNotice> = emptyList(),
 )
 
 /** A request that runs on [upstream]. */
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/LimitRegistry.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/LimitRegistry.kt
@@ -7,20 +7,31 @@
 import samphirechute.core.UpstreamId
 import samphirechute.core.log.KeyValueLog
 import samphirechute.core.time.Clock
-import samphirechute.routing.limit.LimitBeliefs
 import samphirechute.routing.limit.LimitEvidence
 import samphirechute.routing.limit.LimitStatement
+import samphirechute.routing.limit.UpstreamLimits
+import samphirechute.routing.placing.Placement
 
 /**
- * The limits that this instance believes upstreams to have, with a log line for each change and metrics that say from
- * which answer each limit is and how old that answer is.
+ * The limits that this instance believes upstreams to have, from answers and from what other instances have read in
+ * theirs. Each change is logged, and metrics say from which answer each limit is and how old that answer is.
  */
 class LimitRegistry(
     private val self: InstanceId,
     private val clock: Clock,
+    private val limits: UpstreamLimits,
     registry: PrometheusRegistry,
 ) {
-    private val beliefs = LimitBeliefs()
+    private val lastSharedMs = HashMap<UpstreamId, Long>()
+
+    /** Upstreams with a limit that the coordinator believes and this instance does not. */
+    private val limitedElsewhere = HashSet<UpstreamId>()
+
+    /** Receives what the coordinator has to know of answers to this instance. */
+    var onEvidence: (LimitEvidence) -> Unit = {}
+
+    /** Grows with each limit that is named, changed or ended. */
+    val version: Long get() = limits.version
 
     init {
         gauge(
@@ -48,12 +59,85 @@
                 is LimitStatement.Named -> statement.requestsPerS
                 is LimitStatement.Unreadable -> unreadableLimit(upstream, statement, request) ?: return
             }
-        record(LimitEvidence(upstream, requestsPerS, sentMs, clock.nowMs(), request, self))
+        val evidence = LimitEvidence(upstream, requestsPerS, sentMs, clock.nowMs(), request, self)
+        val isNews = requestsPerS == null && limitedElsewhere.remove(upstream)
+        if (record(evidence) || isNews || isShareDue(evidence)) share(evidence)
+    }
+
+    /** Takes in what other instances have read; returns true if a limit was named, changed or ended by it. */
+    fun merge(notices: List<LimitNotice>): Boolean {
+        val nowMs = clock.nowMs()
+        return notices.count {
+            record(
+                LimitEvidence(
+                    it.upstream,
+                    it.requestsPerS,
+                    nowMs - it.sentAgeMs,
+                    nowMs - it.answeredAgeMs,
+                    it.request,
+                    it.instance,
+                ),
+            )
+        } > 0
+    }
+
+    /** Returns what has changed since [version], for other instances. */
+    fun changedAfter(version: Long): List<LimitNotice> = limits.changedAfter(version).map(::notice)
+
+    /** Returns all limits that are believed, for a coordinator that may know none. */
+    fun all(): List<LimitNotice> = limits.all().map(::notice)
+
+    fun notice(evidence: LimitEvidence): LimitNotice {
+        val nowMs = clock.nowMs()
+        return LimitNotice(
+            evidence.upstream,
+            evidence.requestsPerS,
+            nowMs - evidence.sentMs,
+            nowMs - evidence.answeredMs,
+            evidence.request,
+            evidence.instance,
+        )
     }
 
-    private fun record(evidence: LimitEvidence) {
-        val change = beliefs.record(evidence) ?: return
-        beliefs.forgetEnded(clock.nowMs())
+    /**
+     * Returns whether [granted] keeps the limits that this instance believes. The coordinator may not know a limit that
+     * has just been named; such a grant counts against the share of this instance.
+     */
+    fun admits(granted: Placement.Granted): Boolean {
+        val engines = listOf(granted.upstream) + granted.helpers.map { it.upstream }
+        limitedElsewhere += granted.limitsPerS.keys.filter { limits[it] == null }
+        val unknown = engines.mapNotNull { limits[it] }.filter { isUnknownTo(granted, it) }
+        unknown.forEach(::share)
+        if (unknown.any { limits.waitMs(it.upstream, clock.nowMs()) > 0 }) return false
+        unknown.forEach { limits.charge(it.upstream, clock.nowMs()) }
+        return true
+    }
+
+    private fun isUnknownTo(
+        granted: Placement.Granted,
+        evidence: LimitEvidence,
+    ): Boolean {
+        val keptPerS = granted.limitsPerS[evidence.upstream] ?: return true
+        return keptPerS > (evidence.requestsPerS ?: return false) * TOLERATED_RATIO
+    }
+
+    /** A limit that stays is shared again from time to time, so that its end is not mistaken for an older answer. */
+    private fun isShareDue(evidence: LimitEvidence): Boolean {
+        if (evidence.requestsPerS == null) return false
+        return clock.nowMs() - (lastSharedMs[evidence.upstream] ?: Long.MIN_VALUE / 2) >= SHARE_INTERVAL_MS
+    }
+
+    private fun share(evidence: LimitEvidence) {
+        if (evidence.requestsPerS == null) {
+            lastSharedMs -= evidence.upstream
+        } else {
+            lastSharedMs[evidence.upstream] = clock.nowMs()
+        }
+        onEvidence(evidence)
+    }
+
+    private fun record(evidence: LimitEvidence): Boolean {
+        val change = limits.record(evidence, clock.nowMs()) ?: return false
         log.event(
             if (evidence.requestsPerS == null) "limit_ended" else "limit_named",
             mapOf(
@@ -65,6 +149,7 @@
                 "age_ms" to clock.nowMs() - evidence.answeredMs,
             ),
         )
+        return true
     }
 
     /** Returns the limit that holds on while the upstream names one that cannot be read, or null if there is none. */
@@ -73,7 +158,7 @@
         statement: LimitStatement.Unreadable,
         request: RequestId,
     ): Double? {
-        val requestsPerS = beliefs[upstream]?.requestsPerS
+        val requestsPerS = limits[upstream]?.requestsPerS
         log.warn(
             "limit_unreadable",
             mapOf("upstream" to upstream, "value" to statement.text, "request" to request, "per_s" to requestsPerS),
@@ -93,7 +178,7 @@
             .help(help)
             .labelNames("upstream", "request", "answered_by")
             .callback { callback ->
-                beliefs.all().forEach {
+                limits.all().forEach {
                     callback.call(value(it), it.upstream.value, it.request.value, it.instance.value)
                 }
             }.register(registry)
@@ -101,6 +186,10 @@
 
     private companion object {
         const val MS_PER_SECOND = 1_000.0
+        const val SHARE_INTERVAL_MS = 500L
+
+        /** Limits that change a little with each answer are not the same everywhere. */
+        const val TOLERATED_RATIO = 1.25
         val log = KeyValueLog("limits")
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -26,6 +26,8 @@
 
     fun applyRecords(records: List<UpstreamRecord>)
 
+    fun applyLimits(limits: List<LimitNotice>) = Unit
+
     /** Upstreams that are leaving or have left, as this instance knows them. */
     fun departed(): List<UpstreamRecord> = emptyList()
 }
@@ -114,6 +116,7 @@
         }
         reply.drains?.let { if (it.version > listener.drainVersion) listener.applyDrains(it) }
         if (reply.records.isNotEmpty()) listener.applyRecords(reply.records)
+        if (reply.limits.isNotEmpty()) listener.applyLimits(reply.limits)
         addInstances(reply.members)
         reply.config?.let { acceptContent(it, link) }
         fetchNewest()
@@ -193,6 +196,7 @@
             private set
         private var incarnation = 0L
         private var recordsVersion = 0L
+        private var limitsVersion = 0L
         private var reportedLeader: InstanceId? = null
 
         /** True after the first answer of a new incarnation; the next poll sends it the departed upstreams. */
@@ -218,6 +222,7 @@
                     if (takesRecords) recordsVersion else WatchRequest.NO_RECORDS,
                     reportedLeader,
                     if (isIncarnationNew) listener.departed() else emptyList(),
+                    if (takesRecords) limitsVersion else WatchRequest.NO_RECORDS,
                 )
             client.call(address, ClusterRoutes.watch, request, POLL_TIMEOUT_MS) { result ->
                 result.fold({ onAnswer(it, takesRecords) }, ::onFailure)
@@ -235,10 +240,12 @@
             if (takesRecords) {
                 incarnation = reply.incarnation
                 recordsVersion = reply.recordsVersion
+                limitsVersion = reply.limitsVersion
             } else if (incarnation != reply.incarnation) {
                 // A new incarnation counts the versions of its records from the start.
                 incarnation = reply.incarnation
                 recordsVersion = 0
+                limitsVersion = 0
             }
             isCurrent = reply.isCurrent
             lastRevision = reply.revision
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -1,5 +1,6 @@
 package samphirechute.serving.control
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import samphirechute.core.InstanceId
 import samphirechute.core.UpstreamId
 import samphirechute.core.log.KeyValueLog
@@ -7,12 +8,15 @@
 import samphirechute.net.HttpClient
 import samphirechute.net.peer.PeerApi
 import samphirechute.net.peer.PeerClient
+import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.placing.Placer
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.ClusterView
 import samphirechute.serving.cluster.ConfigReader
 import samphirechute.serving.cluster.DrainedDomains
 import samphirechute.serving.cluster.LeavingNotice
+import samphirechute.serving.cluster.LimitNotice
+import samphirechute.serving.cluster.LimitRegistry
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamRecord
 import samphirechute.serving.cluster.WatchListener
@@ -29,16 +33,18 @@
     private val settings: ServingSettings,
     private val loop: EventLoop,
     reader: ConfigReader,
+    metrics: PrometheusRegistry,
     incarnation: Long = System.currentTimeMillis(),
 ) : AutoCloseable {
     private val timer = loop.timer
     private val client = PeerClient(HttpClient(loop, CONNECT_TIMEOUT_MS))
-    private val placer = Placer()
+    val store: StoreMember = StoreMember(settings, timer, client, loop::post)
+    private val upstreamLimits = UpstreamLimits { if (store.isLeader) 1 else store.members.size }
+    private val limits = LimitRegistry(settings.instance, timer, upstreamLimits, metrics)
+    private val placer = Placer(limits = upstreamLimits)
     private val view = ClusterView(reader, timer, placer)
-
-    val store = StoreMember(settings, timer, client, loop::post)
     val registry: UpstreamRegistry = UpstreamRegistry(timer, settings.announceEveryMs, ::upstreamsChanged)
-    private val watchServer = WatchServer(timer, store, registry, incarnation)
+    private val watchServer = WatchServer(timer, store, registry, limits, incarnation)
     private val placements =
         PlacementCoordinator(
             timer,
@@ -47,6 +53,7 @@
             settings.announceEveryMs,
             watchServer::isLost,
             registry::markDraining,
+            ::mergeLimits,
         )
     private val watcher = Watcher(settings, timer, client, isEntry = false, Listener())
     private val departures = DepartureReplicator(timer, registry, Peers())
@@ -100,7 +107,11 @@
 
     private fun upstreamsChanged() {
         view.applyRecords(registry.table.all())
-        watchServer.onRecordsChanged()
+        watchServer.onUpstreamsChanged()
+    }
+
+    private fun mergeLimits(notices: List<LimitNotice>) {
+        if (limits.merge(notices)) watchServer.onUpstreamsChanged()
     }
 
     private inner class Peers : StorePeers {
@@ -127,6 +138,8 @@
         override fun applyDrains(drains: DrainedDomains) = Unit
 
         override fun applyRecords(records: List<UpstreamRecord>) = registry.mergeRecords(records)
+
+        override fun applyLimits(limits: List<LimitNotice>) = mergeLimits(limits)
     }
 
     private companion object {
--- a/serving/src/main/kotlin/samphirechute/serving/control/PlacementCoordinator.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlacementCoordinator.kt
@@ -12,6 +12,7 @@
 import samphirechute.routing.placing.PlacementRequest
 import samphirechute.routing.placing.Placer
 import samphirechute.serving.cluster.ClusterRoutes
+import samphirechute.serving.cluster.LimitNotice
 import samphirechute.serving.cluster.PlacementReply
 
 /**
@@ -26,6 +27,7 @@
     private val announceEveryMs: Long,
     private val isLost: (InstanceId) -> Boolean,
     private val onUpstreamLeaving: (UpstreamId, bornMs: Long) -> Unit,
+    private val onLimits: (List<LimitNotice>) -> Unit,
 ) {
     private val startedMs = timer.nowMs()
 
@@ -51,6 +53,7 @@
         api.on(ClusterRoutes.ends) { message, exchange ->
             exchange.answer(Unit)
             message.withdrawn.forEach(::discard)
+            if (message.limits.isNotEmpty()) onLimits(message.limits)
             message.results.forEach { result -> result.leavingBornMs?.let { onUpstreamLeaving(result.upstream, it) } }
             deliver(placer.applyReport(message, timer.nowMs()))
         }
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
@@ -8,6 +8,7 @@
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.ConfigReply
 import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.LimitRegistry
 import samphirechute.serving.cluster.WatchReply
 import samphirechute.serving.cluster.WatchRequest
 import samphirechute.state.command.DrainTarget
@@ -20,6 +21,7 @@
     private val timer: TimerService,
     private val store: StoreMember,
     private val registry: UpstreamRegistry,
+    private val limits: LimitRegistry,
     private val incarnation: Long,
 ) {
     /** The requests that wait for an answer, at most one for each instance. */
@@ -65,10 +67,10 @@
     }
 
     /**
-     * Answers for changed records of upstreams. Changes within a short time, as during a release, share one answer. The
+     * Answers for changed records and limits of upstreams. Changes within a short time, as during a release, share one answer. The
      * many entry instances get it less often than the few control instances, one of which places the requests.
      */
-    fun onRecordsChanged() {
+    fun onUpstreamsChanged() {
         if (isControlUpdateScheduled) return
         isControlUpdateScheduled = true
         timer.after(CONTROL_RECORDS_DELAY_MS) {
@@ -162,16 +164,19 @@
     /** True when this instance has something that the sender of [request] does not have. */
     private fun isOutdated(request: WatchRequest) =
         request.incarnation != incarnation || request.recordsVersion < registry.table.version ||
+            request.limitsVersion < limits.version ||
             (store.hasLeaderContact && request.leader != store.leader) ||
             request.revision < revision || request.drainVersion < store.state.drainVersion
 
-    /** True for an entry instance that lacks only records, which the update that is already scheduled will bring. */
+    /** True for an entry instance that lacks only records and limits, which the update that is already scheduled will bring. */
     private fun waitsForRecordsOnly(request: WatchRequest) =
-        request.isEntry && isEntryUpdateScheduled && !isOutdated(request.copy(recordsVersion = registry.table.version))
+        request.isEntry && isEntryUpdateScheduled &&
+            !isOutdated(request.copy(recordsVersion = registry.table.version, limitsVersion = limits.version))
 
     private fun reply(request: WatchRequest): WatchReply {
         val isKnown = request.incarnation == incarnation || request.recordsVersion == WatchRequest.NO_RECORDS
         val known = if (isKnown) request.recordsVersion else 0
+        val knownLimits = if (isKnown) request.limitsVersion else 0
         if (request.isEntry) deliveredRevisions[request.from] = revision
         return WatchReply(
             incarnation,
@@ -184,6 +189,8 @@
             store.members,
             store.hasLeaderContact,
             entryCount(),
+            limits.version,
+            limits.changedAfter(knownLimits),
         )
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -7,10 +7,12 @@
 import samphirechute.net.HttpClient
 import samphirechute.net.peer.PeerClient
 import samphirechute.routing.flow.RetryBudget
+import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.placing.Placer
 import samphirechute.serving.cluster.ClusterView
 import samphirechute.serving.cluster.ConfigReader
 import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.LimitNotice
 import samphirechute.serving.cluster.LimitRegistry
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamAvailability
@@ -39,11 +41,13 @@
 ) {
     private val timer = loop.timer
     private val peerClient = PeerClient(HttpClient(loop, CONNECT_TIMEOUT_MS))
-    private val placer = Placer(spreadSeed = settings.instance.hashCode())
-    private val view = ClusterView(reader, timer, placer)
     private val table = UpstreamTable()
-    private val watcher = Watcher(settings, timer, peerClient, isEntry = true, Listener())
-    private val placements = PlacementClient(settings.instance, timer, peerClient, watcher, placer)
+    private val watcher: Watcher = Watcher(settings, timer, peerClient, isEntry = true, Listener())
+    private val upstreamLimits = UpstreamLimits { watcher.entries }
+    private val limits = LimitRegistry(settings.instance, timer, upstreamLimits, registry)
+    private val placer = Placer(spreadSeed = settings.instance.hashCode(), upstreamLimits)
+    private val view = ClusterView(reader, timer, placer)
+    private val placements = PlacementClient(settings.instance, timer, peerClient, watcher, placer, limits)
     private val budget = RetryBudget { settings.retryFloor / watcher.entries }
     private val availability = UpstreamAvailability(timer, table, { view.drains }) { view.applyRecords(table.all()) }
     private val requestHandler =
@@ -56,7 +60,7 @@
                 protocol,
                 budget,
                 availability,
-                LimitRegistry(settings.instance, timer, registry),
+                limits,
                 RequestLog(registry),
             ),
         )
@@ -115,6 +119,10 @@
             if (isChanged) view.applyRecords(table.all())
         }
 
+        override fun applyLimits(limits: List<LimitNotice>) {
+            this@EntryNode.limits.merge(limits)
+        }
+
         override fun departed() = table.all().filter { it.state != UpstreamState.READY }
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
@@ -9,6 +9,7 @@
 import samphirechute.core.time.OnDemandTimer
 import samphirechute.core.time.TimerService
 import samphirechute.net.peer.PeerClient
+import samphirechute.routing.limit.LimitEvidence
 import samphirechute.routing.placing.Placement
 import samphirechute.routing.placing.PlacementDecision
 import samphirechute.routing.placing.PlacementRequest
@@ -17,6 +18,7 @@
 import samphirechute.routing.placing.RefusedReason
 import samphirechute.serving.cluster.AwaitRequest
 import samphirechute.serving.cluster.ClusterRoutes
+import samphirechute.serving.cluster.LimitRegistry
 import samphirechute.serving.cluster.PlacementReply
 import samphirechute.serving.cluster.PlacementReport
 import samphirechute.serving.cluster.RunningPlacement
@@ -37,6 +39,7 @@
     private val client: PeerClient,
     private val watcher: Watcher,
     private val localPlacer: Placer,
+    private val limits: LimitRegistry,
 ) {
     /** Requests that wait in the queue of the local placer. */
     private val localWaiting = HashMap<RequestId, (Placement, String) -> Unit>()
@@ -44,10 +47,14 @@
     /** All requests of this instance that are placed and have not ended. */
     private val running = LinkedHashMap<RequestId, RunningPlacement>()
 
-    /** What the next report will contain: ended requests, withdrawn ones and those placed by this instance. */
+    /**
+     * What the next report will contain: ended requests, withdrawn ones, those placed by this instance, and what answers
+     * said about limits.
+     */
     private val results = ArrayList<PlacementResult>()
     private val withdrawn = ArrayList<RequestId>()
     private val ownPlacements = ArrayList<RunningPlacement>()
+    private val limitEvidence = LinkedHashMap<UpstreamId, LimitEvidence>()
     private val ticks =
         OnDemandTimer(timer, TICK_MS, { localWaiting.isNotEmpty() }) { deliverLocal(localPlacer.tick(timer.nowMs())) }
 
@@ -65,6 +72,10 @@
             backoff.reset()
             coordinator()?.let(::recordCoordinator)
         }
+        limits.onEvidence = {
+            limitEvidence[it.upstream] = it
+            scheduleReport()
+        }
     }
 
     /**
@@ -97,7 +108,7 @@
     fun hasAlternative(
         service: ServiceName,
         excluded: Set<UpstreamId>,
-    ): Boolean = localPlacer.hasOpen(service, excluded)
+    ): Boolean = localPlacer.hasOpen(service, excluded, timer.nowMs())
 
     /** Reports the end of an attempt to the local placer at once and to the coordinator soon. */
     fun reportEnd(result: PlacementResult) {
@@ -238,17 +249,23 @@
         if (isReporting) return
         val address = (lastCoordinator ?: coordinator())?.address ?: return clearPending()
         val placed = if (isFullReportDue) running.values.toList() else ownPlacements.toList()
-        val message = PlacementReport(self, results.toList(), placed, withdrawn.toList(), isFullReportDue)
+        val sentLimits = limitEvidence.toMap()
+        val notices = sentLimits.values.map(limits::notice) + if (isFullReportDue) limits.all() else emptyList()
+        val message = PlacementReport(self, results.toList(), placed, withdrawn.toList(), isFullReportDue, notices)
         clearPending()
         isReporting = true
         client.call(address, ClusterRoutes.ends, message, REPORT_TIMEOUT_MS) { result ->
             isReporting = false
-            result.fold({ if (isReportDue()) scheduleReport() }) { requeue(message) }
+            result.fold({ if (isReportDue()) scheduleReport() }) {
+                sentLimits.forEach(limitEvidence::putIfAbsent)
+                requeue(message)
+            }
         }
     }
 
     private fun isReportDue() =
-        isFullReportDue || results.isNotEmpty() || ownPlacements.isNotEmpty() || withdrawn.isNotEmpty()
+        isFullReportDue || results.isNotEmpty() || ownPlacements.isNotEmpty() || withdrawn.isNotEmpty() ||
+            limitEvidence.isNotEmpty()
 
     /**
      * Puts the contents of a failed report into the next one. A lost report would keep capacity occupied until the
@@ -270,6 +287,7 @@
         ownPlacements.clear()
         isFullReportDue = false
         withdrawn.clear()
+        limitEvidence.clear()
     }
 
     private companion object {
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -150,7 +150,8 @@
         granted: Placement.Granted,
         by: String,
     ) {
-        if (!context.availability.isAvailable(granted.upstream)) return decline(granted, by)
+        if (!context.availability.isAvailable(granted.upstream)) return decline(granted, by, "unavailable")
+        if (!context.limits.admits(granted)) return decline(granted, by, "limit")
         sends++
         upstream = granted.upstream
         context.log.event(
@@ -165,6 +166,7 @@
                 "after_ms" to elapsedMs(),
                 "predicted_ms" to granted.firstByteMs,
                 "helpers" to granted.helpers.map { it.upstream },
+                "limits_per_s" to granted.limitsPerS,
                 "tokens" to caller.promptTokens,
                 "resumes" to (stream != null),
             ),
@@ -191,16 +193,23 @@
     }
 
     /**
-     * Rejects a placement on an upstream that is leaving or has turned this instance away, which the coordinator does
-     * not know yet, and asks for another one.
+     * Rejects a placement on an upstream that is leaving, has turned this instance away or takes no more requests for
+     * now, which the coordinator does not know yet, and asks for another one.
      */
     private fun decline(
         granted: Placement.Granted,
         by: String,
+        reason: String,
     ) {
         context.log.event(
             "place_declined",
-            mapOf("request" to requestId, "upstream" to granted.upstream, "by" to by, "after_ms" to elapsedMs()),
+            mapOf(
+                "request" to requestId,
+                "upstream" to granted.upstream,
+                "by" to by,
+                "reason" to reason,
+                "after_ms" to elapsedMs(),
+            ),
         )
         context.placementClient.reportEnd(placementResult(granted.upstream, PlacementOutcome.CANCELLED, null))
         excluded += granted.upstream
--- a/serving/src/test/kotlin/samphirechute/serving/placement/PlacementClientSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/placement/PlacementClientSpec.kt
@@ -1,5 +1,6 @@
 package samphirechute.serving.placement
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.junit.jupiter.api.Nested
 import samphirechute.core.FailureDomain
 import samphirechute.core.HostPort
@@ -12,6 +13,7 @@
 import samphirechute.net.HttpServer
 import samphirechute.net.peer.PeerApi
 import samphirechute.net.peer.PeerClient
+import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.placing.Placement
 import samphirechute.routing.placing.PlacementOutcome
 import samphirechute.routing.placing.PlacementRequest
@@ -21,6 +23,7 @@
 import samphirechute.routing.placing.PoolProfile
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.LimitRegistry
 import samphirechute.serving.cluster.PlacementReply
 import samphirechute.serving.cluster.PlacementReport
 import samphirechute.serving.cluster.ServingSettings
@@ -42,7 +45,8 @@
     private class Fixture : AutoCloseable {
         private val loop = EventLoop("place")
         private val client = PeerClient(HttpClient(loop, CONNECT_TIMEOUT_MS))
-        private val placer = Placer()
+        private val limits = UpstreamLimits()
+        private val placer = Placer(limits = limits)
         val reports = LinkedBlockingQueue<PlacementReport>()
 
         @Volatile
@@ -56,7 +60,8 @@
         private val coordinator: InstanceId = InstanceId(address.toString())
         private val settings = ServingSettings("entry-1", FailureDomain("a"), HostPort("127.0.0.1", 1), listOf(address))
         private val watcher = Watcher(settings, loop.timer, client, isEntry = true, IgnoringListener)
-        private val places = PlacementClient(settings.instance, loop.timer, client, watcher, placer)
+        private val limitRegistry = LimitRegistry(settings.instance, loop.timer, limits, PrometheusRegistry())
+        private val places = PlacementClient(settings.instance, loop.timer, client, watcher, placer, limitRegistry)
 
         init {
             placer.setPools(listOf(PoolProfile(SERVICE)))
