Keep the number of entry instances when control instances are lost or have restarted

A bound on all instances together, such as the floor of the retry budget, is divided by the number of entry instances. That number was the highest that a connected control instance reported: 1 for an instance that was cut off from all of them, and too low just after they had restarted. Each such instance then took the whole floor, so 15 of them took it 15 times.

InstanceCount believes a higher report at once and a lower one only after no higher one has come for a minute, from an instance that has contact with the leader. Without reports the count stays.

The two tests of WatcherSpec.EntryCounts failed before: with all control instances closed, and with all of them restarted, the count was 1 where 9 was expected.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -67,8 +67,13 @@
     /** The newest revision whose content has arrived, whether or not it could be read. */
     private var fetchedRevision = 0L
 
-    /** The number of entry instances, at least 1. A control instance counts only those that follow it. */
-    val entries: Int get() = maxOf(1, links.values.filter { it.isUp }.maxOfOrNull { it.reportedEntries } ?: 1)
+    private val entryCount = InstanceCount(timer)
+
+    /**
+     * The number of entry instances, at least 1. A control instance counts only those that follow it, so the highest
+     * count of the last minute holds, also while none can be reached.
+     */
+    val entries: Int get() = entryCount.value
 
     fun start() = addInstances(settings.seeds.map { InstanceId(it.toString()) })
 
@@ -197,8 +202,6 @@
 
         /** True after the first answer of a new incarnation; the next poll sends it the departed upstreams. */
         private var isIncarnationNew = false
-        var reportedEntries = 0
-            private set
         private var failures = 0
         val isSilent get() = failures > 0
 
@@ -242,7 +245,7 @@
             }
             isCurrent = reply.isCurrent
             lastRevision = reply.revision
-            reportedEntries = reply.entries
+            entryCount.record(reply.entries, reply.isCurrent)
             reportedLeader = reply.leader.takeIf { reply.isCurrent }
             handleReply(this, reply)
             timer.after(POLL_PAUSE_MS) { poll() }
--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -187,6 +187,41 @@
         }
     }
 
+    @Nested
+    inner class EntryCounts {
+        private fun awaitCount() {
+            controls.forEach { it.entries = ENTRIES }
+            start()
+            await { watcher.reachable().size == 3 }
+            assertEquals(ENTRIES, onLoop { watcher.entries })
+        }
+
+        /** Guards against instances that each take the whole of a budget of all instances once they are cut off. */
+        @Test
+        fun `the count stays when no control instance can be reached`() {
+            awaitCount()
+            controls.forEach { it.server.close() }
+            await { watcher.reachable().isEmpty() }
+            assertEquals(ENTRIES, onLoop { watcher.entries })
+        }
+
+        /** Guards against the count of control instances that have restarted and know no entry instance yet. */
+        @Test
+        fun `the count stays when all control instances have restarted`() {
+            awaitCount()
+            val polls =
+                onLoop {
+                    controls.forEach {
+                        it.entries = 1
+                        it.incarnation++
+                    }
+                    controls.map { it.polls }
+                }
+            await { controls.zip(polls).take(3).all { (control, before) -> control.polls > before + 1 } }
+            assertEquals(ENTRIES, onLoop { watcher.entries })
+        }
+    }
+
     @Nested
     inner class PackedConfigs {
         @Test
@@ -216,6 +251,7 @@
         var fetches = 0
         var sentRecords = 0
         var incarnation = 1L
+        var entries = 1
         val receivedDepartures = ArrayList<UpstreamRecord>()
         val server = HttpServer(loop, handler = PeerApi().also(::serve)::handle)
         val address: HostPort = server.bind(HostPort("127.0.0.1", 0))
@@ -247,7 +283,7 @@
                     config?.takeIf { sendsContent && request.revision < it.revision }?.let(PackedConfig::of),
                     leader = LEADER,
                     isCurrent = isCurrent,
-                    entries = 1,
+                    entries = entries,
                 ),
             )
         }
@@ -281,6 +317,7 @@
         const val LIMIT_MS = 10_000L
         const val POLL_MS = 5L
         const val ANSWER_MS = 10L
+        const val ENTRIES = 9
         val CONFIG_7 = AdoptedConfig(7, "content")
         val LEADER = InstanceId("127.0.0.1:2")
     }
