Count the retries of the last ten seconds in full

The floor of the retry budget is a share of what all instances together may use within any ten seconds. The budget counted retries in ten slots of a second, of which the newest has only begun, so it forgot them after 9.001 to 10 s. When many requests fail at once, instances spend their floors together and could do so again within the same ten seconds: twice the bound.

Retries are now counted for one slot longer. Successes, which add to the budget, are counted as before.

RetryBudgetSpec, "retries within any ten seconds stay within the floor", failed before: 10 more retries were allowed 9.999 s after the first 10, where none are left. "successes and retries leave the window after ten seconds" asked for 10 new retries 9.001 s after 110, which the bound does not allow. It now asks for none after 9.999 s and 10 after 11 s, and failed before, too.

--- a/routing/src/main/kotlin/samphirechute/routing/flow/RetryBudget.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/RetryBudget.kt
@@ -4,14 +4,15 @@
  * Limits the retries of one instance to a share of its recent successes plus a small floor. When a third of the
  * fleet fails at once, the retries of its requests therefore add at most that share to the load of the rest.
  *
- * Successes and retries are counted in a sliding window of one-second slots. All requests of an instance share one
+ * Successes and retries are counted in a sliding window of one-second slots. Retries are counted for a slot longer, so
+ * that any ten seconds stay within the budget wherever in a slot they begin. All requests of an instance share one
  * budget.
  */
 class RetryBudget(
     private val share: Double = DEFAULT_SHARE,
     private val floor: () -> Int = { DEFAULT_FLOOR },
 ) {
-    private val slots = Array(WINDOW_SLOTS) { Slot() }
+    private val slots = Array(RETRY_SLOTS) { Slot() }
 
     fun recordSuccess(nowMs: Long) {
         slotAt(nowMs).successes++
@@ -25,14 +26,15 @@
     }
 
     fun hasRemaining(nowMs: Long): Boolean {
-        val oldest = nowMs / SLOT_MS - WINDOW_SLOTS
-        val recent = slots.filter { it.index > oldest }
-        return recent.sumOf { it.retries } < floor() + share * recent.sumOf { it.successes }
+        val current = nowMs / SLOT_MS
+        val retries = slots.filter { it.index > current - RETRY_SLOTS }.sumOf { it.retries }
+        val successes = slots.filter { it.index > current - SUCCESS_SLOTS }.sumOf { it.successes }
+        return retries < floor() + share * successes
     }
 
     private fun slotAt(nowMs: Long): Slot {
         val index = nowMs / SLOT_MS
-        val slot = slots[index.mod(WINDOW_SLOTS)]
+        val slot = slots[index.mod(RETRY_SLOTS)]
         if (slot.index != index) {
             slot.index = index
             slot.successes = 0
@@ -53,6 +55,7 @@
         /** Lets an idle instance retry its few requests when it loses one upstream. */
         const val DEFAULT_FLOOR = 10
         private const val SLOT_MS = 1_000L
-        private const val WINDOW_SLOTS = 10
+        private const val SUCCESS_SLOTS = 10
+        private const val RETRY_SLOTS = SUCCESS_SLOTS + 1
     }
 }
--- a/routing/src/test/kotlin/samphirechute/routing/flow/RetryBudgetSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/flow/RetryBudgetSpec.kt
@@ -24,7 +24,18 @@
             repeat(1_000) { budget.recordSuccess(nowMs = 0) }
             assertEquals(110, (1..500).count { budget.tryAcquire(nowMs = 9_999) })
             assertEquals(0, (1..500).count { budget.tryAcquire(nowMs = 10_000) })
-            assertEquals(10, (1..500).count { budget.tryAcquire(nowMs = 19_000) })
+            assertEquals(0, (1..500).count { budget.tryAcquire(nowMs = 19_998) })
+            assertEquals(10, (1..500).count { budget.tryAcquire(nowMs = 21_000) })
+        }
+
+        /** Guards against two bursts of retries within ten seconds, at the end of one slot and the start of another. */
+        @Test
+        fun `retries within any ten seconds stay within the floor`() {
+            for (firstMs in listOf(0L, 1L, 500L, 999L)) {
+                val budget = RetryBudget()
+                assertEquals(10, (1..500).count { budget.tryAcquire(firstMs) })
+                assertEquals(0, (1..500).count { budget.tryAcquire(firstMs + 9_999) }, "first at $firstMs ms")
+            }
         }
     }
 }
