Report placements again if the report on them was not answered

While the coordinator is silent, an instance places requests itself and names them in its next report. If that report got no answer, PlacementClient put its ends and withdrawals into the next one, but not the placements, so the coordinator granted slots, memory and limits of upstreams that were in use already. Placements that still run now go into the next report, too.

PlacementClientSpec, "is told again of a placement if the report on it was not answered", failed before: no report named the placement again within 5 s.

--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
@@ -277,6 +277,7 @@
         } else {
             results += message.results
             withdrawn += message.withdrawn.filter { it !in running }
+            if (!message.isWhole) ownPlacements += message.own.filter { it.request.request in running }
             isFullReportDue = isFullReportDue || message.isWhole
         }
         scheduleReport(REPORT_RETRY_MS)
--- a/serving/src/test/kotlin/samphirechute/serving/placement/PlacementClientSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/placement/PlacementClientSpec.kt
@@ -194,6 +194,20 @@
                 val report = assertNotNull(fixture.report { report -> report.own.any { it.request.request == R_1 } })
                 assertTrue(R_1 in report.withdrawn)
             }
+
+        /** Guards against a coordinator that grants slots which requests placed by the instances themselves have. */
+        @Test
+        fun `is told again of a placement if the report on it was not answered`() =
+            Fixture().use { fixture ->
+                assertNotNull(fixture.report { it.isWhole })
+                fixture.isAnsweringPlacements = false
+                fixture.isAnsweringReports = false
+                fixture.place("r-1")
+                assertNotNull(fixture.report { report -> report.own.any { it.request.request == R_1 } })
+                fixture.isAnsweringReports = true
+                val next = fixture.report { report -> report.own.any { it.request.request == R_1 } }
+                assertTrue(next != null, "no report names the placement again")
+            }
     }
 
     private companion object {
