Forget the limits of upstreams that have left only once no earlier answer can come

The placer forgot the limit of an upstream as soon as its record said that it was gone, so a late answer or the notice of another instance brought it back for good, and metrics showed a limit of an upstream that no longer exists. Both kinds of instances now look every 10 s and forget limits of upstreams that are not known, and ends of limits, after a minute.

--- a/routing/src/main/kotlin/samphirechute/routing/limit/LimitBeliefs.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/limit/LimitBeliefs.kt
@@ -42,14 +42,17 @@
     fun changedAfter(version: Long): List<LimitEvidence> =
         beliefs.values.filter { it.version > version }.map { it.evidence }
 
-    fun forget(upstream: UpstreamId) {
-        beliefs -= upstream
-    }
-
-    /** Forgets ends of limits that are so old that no earlier answer can still arrive. */
-    fun forgetEnded(nowMs: Long) {
+    /**
+     * Forgets limits that have ended, and those of upstreams that are not [isKnown], once their answers are so old that no
+     * earlier answer can still arrive.
+     */
+    fun forget(
+        isKnown: (UpstreamId) -> Boolean,
+        nowMs: Long,
+    ) {
         beliefs.values.removeIf {
-            it.evidence.requestsPerS == null && nowMs - it.evidence.answeredMs > ENDED_KEEP_MS
+            val isOld = nowMs - it.evidence.answeredMs > KEEP_MS
+            isOld && (it.evidence.requestsPerS == null || !isKnown(it.evidence.upstream))
         }
     }
 
@@ -72,7 +75,7 @@
 
     private companion object {
         /** Longer than the deadline of any request. */
-        const val ENDED_KEEP_MS = 60_000L
+        const val KEEP_MS = 60_000L
     }
 }
 
--- a/routing/src/main/kotlin/samphirechute/routing/limit/UpstreamLimits.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/limit/UpstreamLimits.kt
@@ -28,7 +28,6 @@
         nowMs: Long,
     ): LimitChange? {
         val change = beliefs.record(evidence) ?: return null
-        beliefs.forgetEnded(nowMs)
         val intervalMs = intervalMs(evidence.upstream)
         if (intervalMs ==
             null
@@ -75,10 +74,13 @@
         pacer(upstream, nowMs).charge(nowMs, intervalMs)
     }
 
-    /** Forgets an upstream that has left. */
-    fun forget(upstream: UpstreamId) {
-        beliefs.forget(upstream)
-        pacers -= upstream
+    /** Forgets old limits of upstreams that are not [isKnown], and old ends of limits. */
+    fun forget(
+        isKnown: (UpstreamId) -> Boolean,
+        nowMs: Long,
+    ) {
+        beliefs.forget(isKnown, nowMs)
+        pacers.keys.removeIf { beliefs[it] == null }
     }
 
     private fun intervalMs(upstream: UpstreamId): Double? = allowedPerS(upstream)?.let { MS_PER_SECOND / it }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -55,7 +55,6 @@
     /** Replaces the known upstreams. Upstreams that remain keep their load. */
     fun setUpstreams(upstreams: List<PlacementTarget>) {
         val ids = upstreams.map { it.id }.toSet()
-        loads.keys.filter { it !in ids }.forEach(limits::forget)
         loads.keys.retainAll(ids)
         upstreams.forEach { upstream ->
             val known = loads[upstream.id]
--- a/routing/src/test/kotlin/samphirechute/routing/limit/LimitBeliefsSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/limit/LimitBeliefsSpec.kt
@@ -72,6 +72,28 @@
         }
     }
 
+    @Nested
+    inner class OldLimits {
+        /** Guards against limits of upstreams that have left, which metrics would show for ever. */
+        @Test
+        fun `of upstreams that have left are forgotten, and others are kept`() {
+            beliefs.record(answer(1.0, 0, 10))
+            beliefs.forget({ true }, nowMs = 100_000)
+            beliefs.forget({ false }, nowMs = 20_000)
+            assertEquals(1.0, beliefs[UPSTREAM]?.requestsPerS)
+            beliefs.forget({ false }, nowMs = 100_000)
+            assertNull(beliefs[UPSTREAM])
+        }
+
+        /** Guards against a limit that a late answer brings back because its end was forgotten too soon. */
+        @Test
+        fun `that have ended are remembered for as long as earlier answers may come`() {
+            believedAfter(answer(1.0, 0, 10), answer(null, 30, 40))
+            beliefs.forget({ true }, nowMs = 20_000)
+            assertNull(believedAfter(answer(1.0, 5, 20)))
+        }
+    }
+
     @Nested
     inner class Versions {
         @Test
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/UpstreamTable.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/UpstreamTable.kt
@@ -46,6 +46,9 @@
 
     operator fun get(id: UpstreamId): UpstreamRecord? = records[id]?.record
 
+    /** Returns whether the upstream is known and has not left. */
+    fun isPresent(id: UpstreamId): Boolean = records[id]?.record?.state.let { it != null && it != UpstreamState.GONE }
+
     fun all(): List<UpstreamRecord> = records.values.map { it.record }
 
     /** The records that have changed since [version]. */
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -78,6 +78,7 @@
         registry.start()
         placements.start()
         watcher.start()
+        timer.every(FORGET_EVERY_MS) { upstreamLimits.forget(registry.table::isPresent, timer.nowMs()) }
         log.event("control_started", mapOf("instance" to settings.instance, "name" to settings.name))
     }
 
@@ -145,6 +146,7 @@
     private companion object {
         const val CONNECT_TIMEOUT_MS = 400
         const val NOTICE_TIMEOUT_MS = 600L
+        const val FORGET_EVERY_MS = 10_000L
         val log = KeyValueLog("control")
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -79,7 +79,10 @@
         watcher.onConfirmed = ::applyConfig
         watcher.start()
         placements.start()
-        timer.every(FORGET_EVERY_MS) { table.forgetGone(timer.nowMs()) }
+        timer.every(FORGET_EVERY_MS) {
+            table.forgetGone(timer.nowMs())
+            upstreamLimits.forget(table::isPresent, timer.nowMs())
+        }
         log.event("entry_started", mapOf("instance" to settings.instance, "name" to settings.name))
     }
 
