Add a bench that checks the limits of upstreams while processes fail

Tests on one instance cannot show what reaches an upstream from all instances together after a coordinator, an entry instance or the upstream itself was lost. bin/bench limits runs the roles of the platform as processes with four stand-in upstreams, plays limits and faults from a seed, and checks the rule over all spans of 4 s, besides runs and refusals of requests. Code that mixed shares with it is now in the package system; what mixed does is unchanged.

--- a/bench/src/main/kotlin/samphirechute/bench/Main.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/Main.kt
@@ -4,6 +4,7 @@
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.Option
+import samphirechute.bench.limits.LimitsBench
 import samphirechute.bench.mixed.MixedBench
 import samphirechute.bench.process.FootprintBench
 import samphirechute.bench.process.GrantsBench
@@ -32,6 +33,7 @@
         "fair" to ::FairBench,
         "footprint" to ::FootprintBench,
         "grants" to ::GrantsBench,
+        "limits" to { Bench { seed, _ -> LimitsBench(arguments.seconds).run(seed) } },
         "members" to { Bench { seed, _ -> MembersBench.run(seed, ::println) } },
         "memory" to ::MemoryBench,
         "mix" to ::MixBench,
@@ -56,6 +58,9 @@
         usage = "of mixed: a checkout of an older revision with built jars (mvn -B -ntp package -DskipTests)",
     )
     var old: String? = null
+
+    @Option(name = "--seconds", metaVar = "S", usage = "of limits: how long the run lasts (default 60)")
+    var seconds = 60L
 }
 
 fun main(args: Array<String>) {
@@ -68,7 +73,8 @@
     }
     val bench = benches(arguments)[arguments.name] ?: fail(parser, "unknown bench \"${arguments.name}\"")
     val old = arguments.old?.let { " --old $it" }.orEmpty()
-    println("# bin/bench ${arguments.name}$old --seed ${arguments.seed}")
+    val seconds = if (arguments.name == "limits") " --seconds ${arguments.seconds}" else ""
+    println("# bin/bench ${arguments.name}$old --seed ${arguments.seed}$seconds")
     bench().run(arguments.seed, Figures())
 }
 
@@ -78,7 +84,9 @@
 ): Nothing {
     System.err.println(message)
     System.err.println(
-        "usage: bin/bench NAME [--seed N] [--old DIR]; names: ${benches(BenchArguments()).keys.joinToString()}",
+        "usage: bin/bench NAME [--seed N] [--old DIR] [--seconds S]; names: ${benches(
+            BenchArguments(),
+        ).keys.joinToString()}",
     )
     parser.printUsage(System.err)
     exitProcess(2)
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/ControlData.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/mixed/ControlData.kt
@@ -1,5 +1,13 @@
 package samphirechute.bench.mixed
 
+import samphirechute.bench.system.Build
+import samphirechute.bench.system.PlatformProcesses
+import samphirechute.bench.system.Workspace
+import samphirechute.bench.system.await
+import samphirechute.bench.system.expect
+import samphirechute.bench.system.expectEqual
+import samphirechute.bench.system.label
+import samphirechute.bench.system.pause
 import samphirechute.platform.ControlApi
 import kotlin.io.path.readText
 
@@ -32,9 +40,9 @@
         }
         system.putConfig(0, system.config(++version))
         system.awaitServed(version)
-        system.awaitStatus(0, FAR, PlatformSystem.OK)
+        system.awaitStatus(0, FAR, PlatformProcesses.OK)
         system.setDrained(0, isDrained = true)
-        system.awaitStatus(0, FAR, PlatformSystem.UNAVAILABLE)
+        system.awaitStatus(0, FAR, PlatformProcesses.UNAVAILABLE)
         (system.controls + system.entries).forEach { expectEqual("${it.label} ends with status", 0, it.stop()) }
         return version
     }
@@ -54,7 +62,7 @@
             repeat(CONTROLS) { control ->
                 await("the configuration of the old build at ${system.controls[control].label}") {
                     val read = system.operate(control, "GET", ControlApi.CONFIG)
-                    read.takeIf { it.status != PlatformSystem.OK || it.body != system.config(version) }?.toString()
+                    read.takeIf { it.status != PlatformProcesses.OK || it.body != system.config(version) }?.toString()
                 }
             }
             "revision=$version"
@@ -63,14 +71,14 @@
             system.awaitServed(version)
             val untilNs = System.nanoTime() + HOLD_NS
             while (System.nanoTime() < untilNs) {
-                expectEqual("status", PlatformSystem.UNAVAILABLE, system.send(0, FAR).status)
+                expectEqual("status", PlatformProcesses.UNAVAILABLE, system.send(0, FAR).status)
                 pause(POLL_MS)
             }
             "failure_domain=${PlatformSystem.DRAINED}"
         }
         checks.check("B.undrain") {
             system.setDrained(1, isDrained = false)
-            system.awaitStatus(0, FAR, PlatformSystem.OK)
+            system.awaitStatus(0, FAR, PlatformProcesses.OK)
             "failure_domain=${PlatformSystem.DRAINED}"
         }
         checks.check("B.identities") {
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/DaemonData.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/mixed/DaemonData.kt
@@ -1,5 +1,11 @@
 package samphirechute.bench.mixed
 
+import samphirechute.bench.system.Build
+import samphirechute.bench.system.Workspace
+import samphirechute.bench.system.await
+import samphirechute.bench.system.expect
+import samphirechute.bench.system.expectEqual
+import samphirechute.bench.system.label
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/DaemonSystem.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/mixed/DaemonSystem.kt
@@ -4,6 +4,16 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import samphirechute.bench.system.Answer
+import samphirechute.bench.system.Build
+import samphirechute.bench.system.Child
+import samphirechute.bench.system.Http
+import samphirechute.bench.system.Launch
+import samphirechute.bench.system.Workspace
+import samphirechute.bench.system.await
+import samphirechute.bench.system.expect
+import samphirechute.bench.system.expectEqual
+import samphirechute.bench.system.label
 import java.nio.file.Path
 import kotlin.io.path.writeText
 
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/MixedBench.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/mixed/MixedBench.kt
@@ -1,6 +1,8 @@
 package samphirechute.bench.mixed
 
 import samphirechute.bench.process.ProcessCluster
+import samphirechute.bench.system.Build
+import samphirechute.bench.system.Workspace
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
@@ -20,7 +22,7 @@
             if (missing.isNotEmpty()) refuse("the ${build.name} build in ${build.folder} lacks $missing")
         }
         val checks = Checks()
-        val workspace = Workspace(new.folder, seed)
+        val workspace = Workspace(new.folder.resolve("run/mixed-${ProcessHandle.current().pid()}"), seed)
         workspace.use {
             DaemonData(workspace, checks, old, new).run()
             ControlData(workspace, checks, old, new).run()
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/MixedDaemons.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/mixed/MixedDaemons.kt
@@ -3,6 +3,13 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import samphirechute.bench.system.Build
+import samphirechute.bench.system.Child
+import samphirechute.bench.system.Workspace
+import samphirechute.bench.system.await
+import samphirechute.bench.system.expect
+import samphirechute.bench.system.expectEqual
+import samphirechute.bench.system.label
 
 /** Part D: daemons of both builds in one cluster, while one of the old build leads the store and then one of the new. */
 internal class MixedDaemons(
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/MixedPlatform.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/mixed/MixedPlatform.kt
@@ -1,5 +1,14 @@
 package samphirechute.bench.mixed
 
+import samphirechute.bench.system.Build
+import samphirechute.bench.system.Child
+import samphirechute.bench.system.PlatformProcesses
+import samphirechute.bench.system.PlatformUpstream
+import samphirechute.bench.system.Workspace
+import samphirechute.bench.system.await
+import samphirechute.bench.system.expect
+import samphirechute.bench.system.expectEqual
+import samphirechute.bench.system.label
 import samphirechute.platform.ControlApi
 
 /** Part C: control and entry instances of both builds at once, while one of the old build leads and then one of the new. */
@@ -98,10 +107,10 @@
     private fun drain(system: PlatformSystem): String {
         for (control in system.controls.indices) {
             system.setDrained(control, isDrained = true)
-            system.entries.indices.forEach { system.awaitStatus(it, FAR, PlatformSystem.UNAVAILABLE) }
-            system.entries.indices.forEach { system.awaitStatus(it, ORDER, PlatformSystem.OK) }
+            system.entries.indices.forEach { system.awaitStatus(it, FAR, PlatformProcesses.UNAVAILABLE) }
+            system.entries.indices.forEach { system.awaitStatus(it, ORDER, PlatformProcesses.OK) }
             system.setDrained(control, isDrained = false)
-            system.entries.indices.forEach { system.awaitStatus(it, FAR, PlatformSystem.OK) }
+            system.entries.indices.forEach { system.awaitStatus(it, FAR, PlatformProcesses.OK) }
         }
         return "failure_domain=${PlatformSystem.DRAINED} through ${system.controls.size} controls"
     }
@@ -109,7 +118,7 @@
     private fun loss(system: PlatformSystem): String {
         val lost = awaitLeader(system)
         endLeader(system)
-        system.entries.indices.forEach { system.awaitStatus(it, ORDER, PlatformSystem.OK) }
+        system.entries.indices.forEach { system.awaitStatus(it, ORDER, PlatformProcesses.OK) }
         changeConfig(system, system.controls.indexOf(lost))
         return "lost=${lost.label} leader=${awaitLeader(system).label} revision=$version"
     }
@@ -125,7 +134,7 @@
         lost.restart()
         await("the configuration at ${lost.label} after its start") {
             val read = system.operate(system.controls.indexOf(lost), "GET", ControlApi.CONFIG)
-            read.takeIf { it.status != PlatformSystem.OK || it.body != system.config(version) }?.toString()
+            read.takeIf { it.status != PlatformProcesses.OK || it.body != system.config(version) }?.toString()
         }
     }
 
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/Build.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/Build.kt
@@ -1,4 +1,4 @@
-package samphirechute.bench.mixed
+package samphirechute.bench.system
 
 import java.nio.file.Path
 import kotlin.io.path.exists
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/Child.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/Child.kt
@@ -1,4 +1,4 @@
-package samphirechute.bench.mixed
+package samphirechute.bench.system
 
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
@@ -18,10 +18,11 @@
     val build: Build,
     private val launch: Launch,
     private val logFolder: Path,
-) {
+) : AutoCloseable {
     private var starts = 0
     private var log = logFolder
     private var process = start()
+    private var isClosed = false
 
     val isAlive: Boolean get() = process.isAlive
 
@@ -42,8 +43,21 @@
         return process.exitValue()
     }
 
+    /** Sends a signal by its name without the prefix SIG. */
+    fun signal(name: String) {
+        ProcessBuilder("kill", "-$name", "${process.pid()}").start().waitFor(END_SECONDS, TimeUnit.SECONDS)
+    }
+
+    @Synchronized
     fun restart() {
-        process = start()
+        if (!isClosed) process = start()
+    }
+
+    /** Ends the process for good: a restart that comes later, from a thread of the bench, does nothing. */
+    @Synchronized
+    override fun close() {
+        isClosed = true
+        if (isAlive) kill()
     }
 
     /** Waits for a command that ends by itself, and returns its exit status with what it printed. */
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/Http.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/Http.kt
@@ -1,10 +1,11 @@
-package samphirechute.bench.mixed
+package samphirechute.bench.system
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonObject
 import java.net.URI
 import java.net.http.HttpClient
+import java.net.http.HttpHeaders
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
@@ -12,8 +13,12 @@
 internal class Answer(
     val status: Int,
     val body: String,
-    val location: String?,
+    private val headers: HttpHeaders,
 ) {
+    val location get() = header("Location")
+
+    fun header(name: String): String? = headers.firstValue(name).orElse(null)
+
     fun json(): JsonObject = Json.parseToJsonElement(body).jsonObject
 
     override fun toString() = "$status $body"
@@ -44,6 +49,6 @@
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
         headers.forEach { (name, value) -> request.header(name, value) }
         val answer = client.send(request.build(), HttpResponse.BodyHandlers.ofString())
-        return Answer(answer.statusCode(), answer.body(), answer.headers().firstValue("Location").orElse(null))
+        return Answer(answer.statusCode(), answer.body(), answer.headers())
     }
 }
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/PlatformUpstream.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/PlatformUpstream.kt
@@ -1,5 +1,6 @@
-package samphirechute.bench.mixed
+package samphirechute.bench.system
 
+import com.sun.net.httpserver.Headers
 import com.sun.net.httpserver.HttpExchange
 import com.sun.net.httpserver.HttpServer
 import samphirechute.platform.ControlApi
@@ -17,6 +18,16 @@
     val ip: String,
 )
 
+/** What a bench adds to the answers of an upstream, and sees of its requests. */
+internal fun interface UpstreamObserver {
+    /** Is called once a request is read, and may add to the head of the answer; what it returns is called after the head. */
+    fun onRequest(
+        id: String,
+        path: String,
+        answer: Headers,
+    ): () -> Unit
+}
+
 /**
  * An upstream of the platform that announces itself to the control instances in turn, counts the executions of each order
  * by its request identifier, and answers streams with numbered events.
@@ -24,37 +35,41 @@
 internal class PlatformUpstream(
     private val place: UpstreamPlace,
     private val controls: List<String>,
+    announceMs: Long = ANNOUNCE_MS,
+    private val observer: UpstreamObserver = UpstreamObserver { _, _, _ -> {} },
 ) : AutoCloseable {
-    private val server = HttpServer.create(InetSocketAddress(place.ip, 0), 0)
     private val workers = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
     private val announcing = Executors.newSingleThreadScheduledExecutor { Thread(it).apply { isDaemon = true } }
-    private val bornMs = System.currentTimeMillis()
-    private var sequence = 0
+
+    @Volatile private var life = Life(0)
 
     /** How often each order ran. */
     val executions = ConcurrentHashMap<String, Int>()
 
     init {
-        server.executor = workers
-        server.createContext("/") { exchange -> exchange.use(::serve) }
-        server.start()
-        announcing.scheduleWithFixedDelay(::announce, 0, ANNOUNCE_MS, TimeUnit.MILLISECONDS)
+        announcing.scheduleWithFixedDelay(::announce, 0, announceMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** Ends this life, which cuts the requests that run, and begins another one at the same address after [downMs]. */
+    fun restart(downMs: Long) {
+        life.server.stop(0)
+        pause(downMs)
+        life = Life(life.port)
+        announcing.execute(::announce)
     }
 
     override fun close() {
         announcing.shutdownNow()
-        server.stop(0)
+        life.server.stop(0)
         workers.shutdownNow()
     }
 
     /** A control instance that is down or refuses is passed over until the next turn. */
     private fun announce() {
-        sequence++
-        val record =
-            """{"service":"${place.service}","address":"${place.ip}:${server.address.port}","zone":"${place.zone}",""" +
-                """"version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,"sequence":$sequence,"born":$bornMs}"""
+        val announced = life
+        val record = announced.nextRecord()
         controls.indices.any { turn ->
-            val control = controls[(sequence + turn) % controls.size]
+            val control = controls[(announced.sequence + turn) % controls.size]
             runCatching { Http.call(control, "PUT", ControlApi.INSTANCES + place.id, record).status }
                 .getOrNull() == OK
         }
@@ -65,17 +80,24 @@
         val id = exchange.requestHeaders.getFirst(PlatformHeaders.REQUEST_ID).orEmpty()
         exchange.responseHeaders.add(PlatformHeaders.REQUEST_ID, id)
         exchange.responseHeaders.add(PlatformHeaders.SIGNATURE, "signature-$id")
-        if (exchange.requestURI.path.startsWith("/stream/")) return stream(exchange)
-        val count = executions.merge(id, 1, Int::plus)
+        val isStream = exchange.requestURI.path.startsWith("/stream/")
+        val count = if (isStream) 0 else executions.merge(id, 1, Int::plus)
+        val onHead = observer.onRequest(id, exchange.requestURI.path, exchange.responseHeaders)
+        if (isStream) return stream(exchange, onHead)
         val body = "${place.id} ran $id $count".toByteArray()
         exchange.sendResponseHeaders(OK, body.size.toLong())
         exchange.responseBody.write(body)
+        onHead()
     }
 
-    private fun stream(exchange: HttpExchange) {
+    private fun stream(
+        exchange: HttpExchange,
+        onHead: () -> Unit,
+    ) {
         val first = exchange.requestHeaders.getFirst(PlatformHeaders.LAST_EVENT_ID)?.toInt() ?: 0
         exchange.responseHeaders.add("Content-Type", "text/event-stream")
         exchange.sendResponseHeaders(OK, 0)
+        onHead()
         for (number in first + 1..EVENTS) {
             exchange.responseBody.write(event(number).toByteArray())
             exchange.responseBody.flush()
@@ -83,6 +105,27 @@
         }
     }
 
+    /** The time from one start to the next end. */
+    private inner class Life(
+        port: Int,
+    ) {
+        private val bornMs = System.currentTimeMillis()
+        var sequence = 0
+            private set
+        val server: HttpServer = HttpServer.create(InetSocketAddress(place.ip, port), 0)
+        val port get() = server.address.port
+
+        init {
+            server.executor = workers
+            server.createContext("/") { exchange -> exchange.use(::serve) }
+            server.start()
+        }
+
+        fun nextRecord() =
+            """{"service":"${place.service}","address":"${place.ip}:$port","zone":"${place.zone}","version":"v1",""" +
+                """"slots":16,"state":"ready","cold_remaining_ms":0,"sequence":${++sequence},"born":$bornMs}"""
+    }
+
     companion object {
         private const val OK = 200
         private const val ANNOUNCE_MS = 400L
--- a/bench/src/main/kotlin/samphirechute/bench/mixed/Workspace.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/Workspace.kt
@@ -1,4 +1,4 @@
-package samphirechute.bench.mixed
+package samphirechute.bench.system
 
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -11,15 +11,14 @@
 
 /** The folder of one run with the processes that live in it, and loopback addresses of its own. */
 internal class Workspace(
-    root: Path,
+    folder: Path,
     val seed: Long,
 ) : AutoCloseable {
     private val pid = ProcessHandle.current().pid()
     val folder: Path =
-        root
+        folder
             .toAbsolutePath()
             .normalize()
-            .resolve("run/mixed-$pid")
             .createDirectories()
     val random = Random(seed)
     private val children = CopyOnWriteArrayList<Child>()
@@ -65,7 +64,7 @@
         kept.toFile().copyRecursively(data.toFile())
     }
 
-    override fun close() = children.filter { it.isAlive }.forEach { it.kill() }
+    override fun close() = children.forEach { it.close() }
 
     companion object {
         /** How many of the data folders hold a snapshot of the store. */
