--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -26,6 +26,8 @@
 
     fun applyRecords(records: List<UpstreamRecord>)
 
+    fun applyLimits(limits: List<LimitNotice>) = Unit
+
     /** Upstreams that are leaving or have left, as this instance knows them. */
     fun departed(): List<UpstreamRecord> = emptyList()
 }
@@ -67,8 +69,13 @@
     /** The newest revision whose content has arrived, whether or not it could be read. */
     private var fetchedRevision = 0L
 
-    /** The number of entry instances, at least 1. A control instance counts only those that follow it. */
-    val entries: Int get() = maxOf(1, links.values.filter { it.isUp }.maxOfOrNull { it.reportedEntries } ?: 1)
+    private val entryCount = InstanceCount(timer)
+
+    /**
+     * The number of entry instances, at least 1. A control instance counts only those that follow it, so the highest
+     * count of the last minute holds, also while none can be reached.
+     */
+    val entries: Int get() = entryCount.value
 
     fun start() = addInstances(settings.seeds.map { InstanceId(it.toString()) })
 
@@ -114,6 +121,7 @@
         }
         reply.drains?.let { if (it.version > listener.drainVersion) listener.applyDrains(it) }
         if (reply.records.isNotEmpty()) listener.applyRecords(reply.records)
+        if (reply.limits.isNotEmpty()) listener.applyLimits(reply.limits)
         addInstances(reply.members)
         reply.config?.let { acceptContent(it, link) }
         fetchNewest()
@@ -193,12 +201,11 @@
             private set
         private var incarnation = 0L
         private var recordsVersion = 0L
+        private var limitsVersion = 0L
         private var reportedLeader: InstanceId? = null
 
         /** True after the first answer of a new incarnation; the next poll sends it the departed upstreams. */
         private var isIncarnationNew = false
-        var reportedEntries = 0
-            private set
         private var failures = 0
         val isSilent get() = failures > 0
 
@@ -218,6 +225,7 @@
                     if (takesRecords) recordsVersion else WatchRequest.NO_RECORDS,
                     reportedLeader,
                     if (isIncarnationNew) listener.departed() else emptyList(),
+                    if (takesRecords) limitsVersion else WatchRequest.NO_RECORDS,
                 )
             client.call(address, ClusterRoutes.watch, request, POLL_TIMEOUT_MS) { result ->
                 result.fold({ onAnswer(it, takesRecords) }, ::onFailure)
@@ -235,14 +243,16 @@
             if (takesRecords) {
                 incarnation = reply.incarnation
                 recordsVersion = reply.recordsVersion
+                limitsVersion = reply.limitsVersion
             } else if (incarnation != reply.incarnation) {
                 // A new incarnation counts the versions of its records from the start.
                 incarnation = reply.incarnation
                 recordsVersion = 0
+                limitsVersion = 0
             }
             isCurrent = reply.isCurrent
             lastRevision = reply.revision
-            reportedEntries = reply.entries
+            entryCount.record(reply.entries, reply.isCurrent)
             reportedLeader = reply.leader.takeIf { reply.isCurrent }
             handleReply(this, reply)
             timer.after(POLL_PAUSE_MS) { poll() }
