Send to a limited upstream as soon as an interval has passed since its answer, whoever leads

A coordinator now counts the interval from the answer that it believes, and an upstream with a very low limit gets a request every 2 s instead of 5 s; the users allow 5 in 4 s at a limit of 0.

--- a/routing/src/main/kotlin/samphirechute/routing/limit/UpstreamLimits.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/limit/UpstreamLimits.kt
@@ -7,9 +7,10 @@
 /**
  * Decides when requests may be sent to upstreams that have named a limit, so that all placers together keep to it.
  *
- * A coordinator places for all instances and uses the whole limit. Placers that do not see each other's requests each
- * use a share, and start at a random point of their interval, so that their first requests do not come together. An
- * upstream still gets a request now and then if its limit is 0, since only its answers tell that it takes more again.
+ * A coordinator places for all instances and uses the whole limit, one interval after the answer that named it. Placers
+ * that do not see each other's requests each use a share, and start at a random point of their interval, so that their
+ * first requests do not come together. An upstream still gets a request now and then if its limit is 0, since only its
+ * answers tell that it takes more again.
  */
 class UpstreamLimits(
     private val random: Random = Random.Default,
@@ -93,7 +94,12 @@
         val isShared = placers() > 1
         pacers[upstream]?.takeIf { it.isShared == isShared }?.let { return it }
         val intervalMs = intervalMs(upstream) ?: 0.0
-        val firstMs = nowMs + intervalMs * if (isShared) random.nextDouble() else 1.0
+        val firstMs =
+            if (isShared) {
+                nowMs + intervalMs * random.nextDouble()
+            } else {
+                max(nowMs.toDouble(), (beliefs[upstream]?.answeredMs ?: nowMs) + intervalMs)
+            }
         return RequestPacer(isShared, firstMs, intervalMs).also { pacers[upstream] = it }
     }
 
@@ -101,7 +107,7 @@
         const val MS_PER_SECOND = 1_000.0
 
         /** The rate of requests by which the end or change of a very low limit is noticed. */
-        const val PROBE_PER_S = 0.2
+        const val PROBE_PER_S = 0.5
 
         /** Placers that share a limit use half of it, since their requests may come together by chance. */
         const val SHARED_PART = 0.5
--- a/routing/src/test/kotlin/samphirechute/routing/limit/UpstreamLimitsSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/limit/UpstreamLimitsSpec.kt
@@ -73,6 +73,19 @@
             assertEquals(0, limits.waitMs(UPSTREAM, 100))
         }
 
+        /** Guards against a limit that each new coordinator keeps for a whole interval after it has ended. */
+        @Test
+        fun `a new coordinator may send as soon as one interval has passed since the answer`() {
+            var count = 3
+            val limits = UpstreamLimits(Random(1)) { count }.apply { name(0.5, 0) }
+            count = 1
+            assertEquals(1_500, limits.waitMs(UPSTREAM, 500))
+            count = 3
+            limits.waitMs(UPSTREAM, 600)
+            count = 1
+            assertEquals(0, limits.waitMs(UPSTREAM, 5_000))
+        }
+
         /** Guards against a wait at the old rate after an upstream has said that it takes more again. */
         @Test
         fun `a higher limit holds at once`() {
