Tell a new coordinator of limits that have ended, and log each unreadable limit once

A value that cannot be read was logged for each answer; it is now logged once for each upstream and value. What is remembered of upstreams that have left is forgotten with their limits.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/LimitRegistry.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/LimitRegistry.kt
@@ -27,6 +27,9 @@
     /** Upstreams with a limit that the coordinator believes and this instance does not. */
     private val limitedElsewhere = HashSet<UpstreamId>()
 
+    /** The last value of each upstream that could not be read; each is logged once. */
+    private val unreadable = HashMap<UpstreamId, String>()
+
     /** Receives what the coordinator has to know of answers to this instance. */
     var onEvidence: (LimitEvidence) -> Unit = {}
 
@@ -84,8 +87,14 @@
     /** Returns what has changed since [version], for other instances. */
     fun changedAfter(version: Long): List<LimitNotice> = limits.changedAfter(version).map(::notice)
 
-    /** Returns all limits that are believed, for a coordinator that may know none. */
-    fun all(): List<LimitNotice> = limits.all().map(::notice)
+    /** Forgets what is no longer needed of upstreams that are not [isPresent]. */
+    fun forget(isPresent: (UpstreamId) -> Boolean) {
+        limits.forget(isPresent, clock.nowMs())
+        listOf(lastSharedMs.keys, limitedElsewhere, unreadable.keys).forEach { ids -> ids.removeIf { !isPresent(it) } }
+    }
+
+    /** Returns all that is believed, ends of limits too, for a coordinator that may know nothing or something older. */
+    fun all(): List<LimitNotice> = changedAfter(0)
 
     fun notice(evidence: LimitEvidence): LimitNotice {
         val nowMs = clock.nowMs()
@@ -159,6 +168,7 @@
         request: RequestId,
     ): Double? {
         val requestsPerS = limits[upstream]?.requestsPerS
+        if (unreadable.put(upstream, statement.text) == statement.text) return requestsPerS
         log.warn(
             "limit_unreadable",
             mapOf("upstream" to upstream, "value" to statement.text, "request" to request, "per_s" to requestsPerS),
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -78,7 +78,7 @@
         registry.start()
         placements.start()
         watcher.start()
-        timer.every(FORGET_EVERY_MS) { upstreamLimits.forget(registry.table::isPresent, timer.nowMs()) }
+        timer.every(FORGET_EVERY_MS) { limits.forget(registry.table::isPresent) }
         log.event("control_started", mapOf("instance" to settings.instance, "name" to settings.name))
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -81,7 +81,7 @@
         placements.start()
         timer.every(FORGET_EVERY_MS) {
             table.forgetGone(timer.nowMs())
-            upstreamLimits.forget(table::isPresent, timer.nowMs())
+            limits.forget(table::isPresent)
         }
         log.event("entry_started", mapOf("instance" to settings.instance, "name" to settings.name))
     }
