--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
@@ -67,8 +67,9 @@
     }
 
     /**
-     * Answers for changed records and limits of upstreams. Changes within a short time, as during a release, share one answer. The
-     * many entry instances get it less often than the few control instances, one of which places the requests.
+     * Answers for changed records and limits of upstreams. Changes within a short time, as during a release, share one
+     * answer. The many entry instances get it less often than the few control instances, one of which places the
+     * requests.
      */
     fun onUpstreamsChanged() {
         if (isControlUpdateScheduled) return
@@ -168,7 +169,7 @@
             (store.hasLeaderContact && request.leader != store.leader) ||
             request.revision < revision || request.drainVersion < store.state.drainVersion
 
-    /** True for an entry instance that lacks only records and limits, which the update that is already scheduled will bring. */
+    /** True for an entry instance that lacks only records and limits, which the scheduled update will bring. */
     private fun waitsForRecordsOnly(request: WatchRequest) =
         request.isEntry && isEntryUpdateScheduled &&
             !isOutdated(request.copy(recordsVersion = registry.table.version, limitsVersion = limits.version))
