--- a/routing/src/main/kotlin/samphirechute/routing/limit/UpstreamLimits.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/limit/UpstreamLimits.kt
@@ -107,7 +107,7 @@
         const val MS_PER_SECOND = 1_000.0
 
         /** The rate of requests by which the end or change of a very low limit is noticed. */
-        const val PROBE_PER_S = 0.5
+        const val PROBE_PER_S = 0.25
 
         /** Placers that share a limit use half of it, since their requests may come together by chance. */
         const val SHARED_PART = 0.5
