Log the parts of prompts and the end of each attempt

Cause: nothing in the logs told which requests had run on an engine that ended, what their prompts have in common, or whether their answers had begun, so the hypotheses of the incident could not be told apart.

No change of logic.

--- a/core/src/main/kotlin/samphirechute/core/Ids.kt
+++ b/core/src/main/kotlin/samphirechute/core/Ids.kt
@@ -89,3 +89,14 @@
 
     override fun toString() = value
 }
+
+/** Identifies a part of a prompt that several prompts may share. */
+@Serializable
+@JvmInline
+value class PromptPart(
+    val value: String,
+) : Comparable<PromptPart> {
+    override fun compareTo(other: PromptPart) = value.compareTo(other.value)
+
+    override fun toString() = value
+}
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -26,14 +26,14 @@
  * Sends a request to one upstream and reads the answer. [Relay] creates one for each placement that it uses.
  *
  * An answer that is not a stream is collected in full before any of it is relayed, so that the request can still be
- * retried if the answer breaks off. Events of a stream are passed to [events] as soon as each is complete. The result
+ * retried if the answer breaks off. Events of a stream are passed to [sink] as soon as each is complete. The result
  * is reported once, unless the attempt is cancelled.
  */
 internal class Attempt(
     private val context: RelayContext,
     private val request: ServerRequest,
     private val requestId: RequestId,
-    private val events: EventSink?,
+    private val sink: EventSink?,
     private val timeouts: AttemptTimeouts,
     /**
      * Returns false if a stream should be waited for however long it is silent, since no other upstream can continue
@@ -51,13 +51,23 @@
     private var silenceTimer: Subscription? = null
     private var upstream: UpstreamId? = null
     private var isSent = false
-    private var sentMs = startedMs
     private var isDone = false
 
     /** Time from the start to the first byte of the body, or of the first event that is no comment; null before it. */
     var firstByteMs: Long? = null
         private set
 
+    /** The number of events of a stream that have arrived, comments not counted. */
+    var events = 0
+        private set
+
+    /** The status of the answer; null before its head has arrived. */
+    val status: Int? get() = head?.status
+
+    /** When the request was written to the connection, or when the attempt began if it was not. */
+    var sentMs = startedMs
+        private set
+
     /** Start time of the incarnation of the upstream that announced its leaving in the answer, or null. */
     var leavingBornMs: Long? = null
         private set
@@ -113,7 +123,7 @@
     override fun onBody(piece: ByteBuf) {
         val current = head ?: return
         if (isDone) return
-        if (events != null && current.status == OK) return onStreamBody(current, events, piece)
+        if (sink != null && current.status == OK) return onStreamBody(current, sink, piece)
         if (firstByteMs == null) firstByteMs = elapsedMs()
         if (body.size() + piece.readableBytes() > MAX_WHOLE_BYTES) return fail("answer_too_large")
         piece.readBytes(body, piece.readableBytes())
@@ -121,7 +131,7 @@
 
     override fun onEnd() {
         val current = head ?: return fail("empty_answer")
-        if (events != null && current.status == OK) {
+        if (sink != null && current.status == OK) {
             if (firstByteMs == null || !splitter.isAtBoundary) return fail("stream_cut")
             return finish(AttemptResult.StreamEnded)
         }
@@ -183,6 +193,7 @@
             if (isDone) return@add
             if (!event.isComment) {
                 hasAdvanced = true
+                events++
                 if (firstByteMs == null) firstByteMs = elapsedMs()
             }
             if (!sink.onEvent(current, event)) fail("event_out_of_order")
@@ -199,7 +210,7 @@
         val reason = if (firstByteMs == null) "silent" else "stalled"
         silenceTimer =
             context.timer.after(limitMs) {
-                if (events == null || canBeReplaced()) fail(reason, isStalled = true) else restartSilenceTimer(limitMs)
+                if (sink == null || canBeReplaced()) fail(reason, isStalled = true) else restartSilenceTimer(limitMs)
             }
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -168,6 +168,7 @@
                 "helpers" to granted.helpers.map { it.upstream },
                 "limits_per_s" to granted.limitsPerS,
                 "tokens" to caller.promptTokens,
+                "parts" to caller.sharedParts.take(MAX_LOGGED_PARTS),
                 "resumes" to (stream != null),
             ),
         )
@@ -253,6 +254,7 @@
             ),
         )
         context.log.recordAttempt(result.label)
+        logEnd(target, endedAttempt, result)
         attempt = null
         memory?.release()
         when (result) {
@@ -263,6 +265,29 @@
         }
     }
 
+    /** Names the prompt of a lost attempt, since requests that end with an engine may have a part of it in common. */
+    private fun logEnd(
+        target: UpstreamId,
+        ended: Attempt,
+        result: AttemptResult,
+    ) = context.log.event(
+        "attempt_ended",
+        mapOf(
+            "request" to requestId,
+            "route" to route.name,
+            "upstream" to target,
+            "send" to sends,
+            "outcome" to result.label,
+            "head" to ended.status,
+            "events" to ended.events,
+            "sent_age_ms" to context.timer.nowMs() - ended.sentMs,
+            "ms" to elapsedMs(),
+        ) + partsField(result is AttemptResult.Lost),
+    )
+
+    private fun partsField(isNamed: Boolean) =
+        if (isNamed) mapOf("parts" to caller.sharedParts.take(MAX_LOGGED_PARTS)) else emptyMap()
+
     private fun placementResult(
         target: UpstreamId,
         outcome: PlacementOutcome,
@@ -446,6 +471,7 @@
         /** Placements that are declined before the request is refused; each is reported to the coordinator. */
         const val MAX_DECLINED = 8
         const val RETRY_AFTER_MS = 500L
+        const val MAX_LOGGED_PARTS = 16
 
         /** Sends beyond the limit of the route, for attempts in which the upstream did not run the request. */
         const val EXTRA_SENDS_IF_NOT_RUN = 2
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayProtocol.kt
@@ -1,6 +1,7 @@
 package samphirechute.serving.relay
 
 import samphirechute.core.HostPort
+import samphirechute.core.PromptPart
 import samphirechute.core.RequestId
 import samphirechute.core.TeamName
 import samphirechute.core.UpstreamId
@@ -63,6 +64,8 @@
     val answerTokens: Long,
     /** The last event that the caller has received, if it resumes a stream. */
     val lastEventId: Long?,
+    /** The parts of the prompt that other requests may share, in order; the last part of a prompt is not among them. */
+    val sharedParts: Set<PromptPart> = emptySet(),
 )
 
 /** What the relay adds to a request when it sends it to an upstream. */
