--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlacementRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlacementRequest.kt
@@ -5,6 +5,7 @@
 import samphirechute.core.FailureDomain
 import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
+import samphirechute.core.PromptPart
 import samphirechute.core.RequestId
 import samphirechute.core.ServiceName
 import samphirechute.core.TeamName
@@ -34,6 +35,8 @@
     val elapsedMs: Long = 0,
     /** True if the caller has received part of the answer and another upstream has to continue it. */
     val hasBegun: Boolean = false,
+    /** The parts of the prompt that other requests may share. */
+    val sharedParts: Set<PromptPart> = emptySet(),
 ) {
     /** Cost of a late answer to this request. It grows with the prompt, since longer prompts take more work. */
     val weight: Double get() = 1 + promptTokens / TOKENS_PER_WEIGHT
@@ -73,6 +76,10 @@
         val firstByteMs: Long = 0,
         /** The limits of upstreams that were kept by this grant. */
         val limitsPerS: Map<UpstreamId, Double> = emptyMap(),
+        /** True if it is to be told at once when the answer gets beyond its beginning. */
+        val isWatched: Boolean = false,
+        /** True if the prompt is in quarantine and is sent to see whether it still crashes an upstream. */
+        val isProbe: Boolean = false,
     ) : Placement()
 
     /** The request cannot be served in time; the caller may retry after [retryAfterMs]. */
@@ -115,6 +122,10 @@
     @SerialName("too_large")
     TOO_LARGE,
 
+    /** Upstreams have ended one after the other when they began to answer prompts of this kind. */
+    @SerialName("quarantined")
+    QUARANTINED,
+
     /** The request waited for as long as it could, or had no time left to wait. */
     @SerialName("expired")
     EXPIRED,
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -5,6 +5,7 @@
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
 import samphirechute.routing.limit.UpstreamLimits
+import samphirechute.routing.quarantine.PromptQuarantine
 
 /** The outcome of a request that was waiting: either granted or refused. */
 data class PlacementDecision(
@@ -26,6 +27,7 @@
      */
     private val spreadSeed: Int? = null,
     private val limits: UpstreamLimits = UpstreamLimits(),
+    private val quarantine: PromptQuarantine = PromptQuarantine(InstanceId("placer")),
 ) {
     /**
      * True while other placers grant the same upstreams, as happens without a leader. Requests then stay in their own
@@ -39,6 +41,9 @@
      * refused.
      */
     var isLearning = false
+
+    /** True if this placer alone decides when a prompt in quarantine is sent to see whether it still crashes upstreams. */
+    var mayProbe = false
     private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
     private val pools = HashMap<ServiceName, PoolQueue>()
     private val placements = HashMap<RequestId, PlacedRequest>()
@@ -65,7 +70,8 @@
     /**
      * Returns the decision on a request, or null if it was queued; its decision is then returned by a later call.
      *
-     * Requests that cannot be served, and those whose upstreams have all turned the instance away, are refused first.
+     * Requests whose prompts are in quarantine or that cannot be served, and those whose upstreams have all turned the
+     * instance away, are refused first.
      * So are those that the limits of their upstreams would keep waiting for too long.
      * Others are tried at once, unless a waiting request precedes them. What cannot be placed now is queued, but only
      * if it is expected to be served before its caller gives up.
@@ -75,6 +81,7 @@
         nowMs: Long,
     ): Placement? {
         val pool = pools[request.service] ?: return RefusalPolicy.noUpstream()
+        refuseQuarantined(request, nowMs)?.let { return it }
         val open = open(request)
         if (open.isEmpty() && !isLearning) return RefusalPolicy.noUpstream()
         val shortestMs = open.minOfOrNull { turnedAway.remainingMs(request.instance, it.upstream.id, nowMs) } ?: 0
@@ -90,6 +97,15 @@
         return null
     }
 
+    private fun refuseQuarantined(
+        request: PlacementRequest,
+        nowMs: Long,
+    ): Placement.Refused? {
+        val found = quarantine.find(request.sharedParts, nowMs) ?: return null
+        if (mayProbe && quarantine.isProbeDue(found, nowMs)) return null
+        return RefusalPolicy.quarantined(quarantine.retryAfterMs(found, nowMs))
+    }
+
     /**
      * Returns when the caller may come back if all of [open] have limits that keep the request waiting for longer than
      * [maxWaitMs], otherwise null. Callers are given different times, so that they do not all come back for the same
@@ -203,9 +219,9 @@
         if (pool.size == 0) return emptyList()
         val decisions = ArrayList<PlacementDecision>()
         for (request in pool.inOrder()) {
-            val granted = tryPlace(pool, request, nowMs) ?: continue
+            val placement = refuseQuarantined(request, nowMs) ?: tryPlace(pool, request, nowMs) ?: continue
             pool.remove(request.request)
-            decisions += PlacementDecision(request, granted)
+            decisions += PlacementDecision(request, placement)
         }
         return decisions
     }
@@ -217,13 +233,24 @@
     ): Placement.Granted? {
         val candidates = candidates(pool.profile, request, nowMs)
         val engine = pool.profile.engine
-        if (engine == null) return placePlain(candidates, request, nowMs)
+        if (engine == null) return placePlain(candidates, request, nowMs)?.let { questioned(it, request, nowMs) }
         val waitedMs = request.elapsedMs + pool.waitedMs(request.request, nowMs)
         val split =
             EngineSelector(engine, candidates, request, nowMs, spreadSeed, waitedMs, ::isLimited).select()
                 ?: return null
         grant(request, split, nowMs)
-        return toGranted(split)
+        return questioned(toGranted(split), request, nowMs)
+    }
+
+    /** Marks a grant whose answer is evidence for or against a quarantine. */
+    private fun questioned(
+        granted: Placement.Granted,
+        request: PlacementRequest,
+        nowMs: Long,
+    ): Placement.Granted {
+        val found = quarantine.find(request.sharedParts, nowMs)
+        found?.let { quarantine.recordProbe(it, nowMs) }
+        return granted.copy(isWatched = quarantine.isInQuestion(request.sharedParts), isProbe = found != null)
     }
 
     /**
@@ -369,6 +396,7 @@
 
             PlacementOutcome.DONE, PlacementOutcome.CANCELLED -> {
                 if (firstByteMs != null) {
+                    placements[result.request]?.let { quarantine.recordAlive(load.upstream.id, it.placedMs) }
                     load.recordAnswer(firstByteMs, nowMs)
                     result.from?.let { linkHealth.recordSuccess(it, load.upstream) }
                 }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/RefusalPolicy.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/RefusalPolicy.kt
@@ -27,6 +27,9 @@
     /** Refuses a request whose upstreams take the next one for it after [returnMs]. */
     fun limited(returnMs: Long) = Placement.Refused(RefusedReason.LIMITED, returnMs.coerceAtLeast(SHORTEST_RETRY_MS))
 
+    /** Refuses a request whose prompt is in quarantine for at least [returnMs]. */
+    fun quarantined(returnMs: Long) = Placement.Refused(RefusedReason.QUARANTINED, returnMs)
+
     /** Refuses a request that would have to wait for about [waitMs], after which it may be retried. */
     fun overloaded(waitMs: Long) = refused(RefusedReason.OVERLOADED, waitMs)
 
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/quarantine/PromptQuarantine.kt
@@ -0,0 +1,199 @@
+package samphirechute.routing.quarantine
+
+import samphirechute.core.InstanceId
+import samphirechute.core.PromptPart
+import samphirechute.core.UpstreamId
+
+/**
+ * Decides which prompts are not sent to upstreams, because each upstream that begins to answer them ends.
+ *
+ * Each instance has one. Instances that send requests report how those ended, and the instance that places requests for
+ * all of them decides ([record]); the others take its decisions over ([merge]). One part, or several that cannot be told
+ * apart, is put in quarantine once [THRESHOLD] upstreams have ended under it one after the other and no answer on it got
+ * beyond its beginning. Any such answer later lifts the quarantine. Since prompts in quarantine are not sent, few requests
+ * are let through to see whether it is right ([isProbeDue]), and only by the instance that places for all.
+ *
+ * It has no clock: callers pass the current time.
+ */
+class PromptQuarantine(
+    private val self: InstanceId,
+) {
+    private val suspects = SuspectTable()
+    private val table = QuarantineTable()
+
+    /** Receives each change of a quarantine. */
+    var onChange: (QuarantineChange) -> Unit = {}
+
+    /** Grows with each change of a quarantine. */
+    val version: Long get() = table.version
+
+    val active: List<Quarantine> get() = table.active
+
+    /** The number of parts that are suspected and not in quarantine. */
+    val suspected: Int get() = suspects.open
+
+    /** Takes in how an attempt ended; returns the parts that are newly suspected or cleared by it. */
+    fun record(
+        evidence: RunEvidence,
+        nowMs: Long,
+    ): Suspicion {
+        if (evidence.parts.isEmpty()) return Suspicion.NONE
+        return when (evidence.outcome) {
+            RunOutcome.LOST -> recordLoss(evidence)
+            RunOutcome.SOUND -> recordAnswer(evidence, nowMs)
+        }
+    }
+
+    /** Takes in that [upstream] has answered a request that was sent at [sentMs], whichever its prompt. */
+    fun recordAlive(
+        upstream: UpstreamId,
+        sentMs: Long,
+    ) = suspects.recordAlive(upstream, sentMs)
+
+    /**
+     * Puts parts in quarantine for which the evidence is sufficient and at least [DECISION_DELAY_MS] old, so that all
+     * instances have reported on the last crash, and answers on sound parts have had time to begin. Call it so long after
+     * each [record].
+     */
+    fun decide(nowMs: Long) {
+        while (true) {
+            val blame = suspects.mostSuspected(THRESHOLD, nowMs - DECISION_DELAY_MS) ?: return
+            suspects.explain(blame.crashes, by = blame.parts)
+            val round = (table[blame.parts]?.round ?: 0) + 1
+            val quarantine = Quarantine(blame.parts, QuarantineState.ACTIVE, round, blame.crashes, self, nowMs)
+            put(quarantine, QuarantineReason.CRASHES, nowMs)
+            table.active
+                .filter { isNarrowedBy(it, quarantine) }
+                .forEach { lift(it, QuarantineReason.NARROWED, nowMs) }
+        }
+    }
+
+    /** Takes over what other instances have decided. */
+    fun merge(
+        quarantines: List<Quarantine>,
+        nowMs: Long,
+    ) = quarantines
+        .filter { other -> table[other.parts].let { it == null || other.isNewerThan(it) } }
+        .forEach { put(it, QuarantineReason.LEARNED, nowMs) }
+
+    /** Returns the quarantine that a prompt with [parts] is in, or null. */
+    fun find(
+        parts: Set<PromptPart>,
+        nowMs: Long,
+    ): Quarantine? = table.find(parts, nowMs)
+
+    /** Returns whether an answer on [parts] would clear one of them or lift a quarantine. */
+    fun isInQuestion(parts: Set<PromptPart>): Boolean =
+        parts.any { it in suspects } || table.active.any { it.covers(parts) }
+
+    /**
+     * Returns whether a request may be sent in spite of [quarantine], to see whether it is right. A right one costs an
+     * upstream each time, so the next comes much later.
+     */
+    fun isProbeDue(
+        quarantine: Quarantine,
+        nowMs: Long,
+    ): Boolean {
+        val dueMs = PROBES_AFTER_MS.getOrNull(quarantine.probes) ?: return false
+        return nowMs - quarantine.decidedMs >= dueMs
+    }
+
+    /** Counts a request that is sent in spite of [quarantine]. */
+    fun recordProbe(
+        quarantine: Quarantine,
+        nowMs: Long,
+    ) = put(quarantine.copy(probes = quarantine.probes + 1), QuarantineReason.PROBED, nowMs)
+
+    /** Returns the time after which a request in [quarantine] may come back. */
+    fun retryAfterMs(
+        quarantine: Quarantine,
+        nowMs: Long,
+    ): Long {
+        val dueMs = PROBES_AFTER_MS.getOrNull(quarantine.probes) ?: return LONGEST_RETRY_MS
+        return (quarantine.decidedMs + dueMs - nowMs).coerceIn(SHORTEST_RETRY_MS, LONGEST_RETRY_MS)
+    }
+
+    /** Returns the quarantines that have changed since [version]. */
+    fun changedAfter(version: Long): List<Quarantine> = table.changedAfter(version)
+
+    fun forget(nowMs: Long) {
+        suspects.forget(nowMs)
+        table.forget(nowMs)
+    }
+
+    /** The end of an upstream under a quarantine says nothing about the other prompts that were on it. */
+    private fun recordLoss(evidence: RunEvidence): Suspicion {
+        val known = table.active.firstOrNull { it.covers(evidence.parts) }
+        if (known != null) {
+            suspects.explain(listOf(Crash(evidence.upstream, evidence.endedMs)), by = known.parts)
+            return Suspicion.NONE
+        }
+        return Suspicion(suspected = suspects.recordLoss(evidence))
+    }
+
+    private fun recordAnswer(
+        evidence: RunEvidence,
+        nowMs: Long,
+    ): Suspicion {
+        suspects.recordAlive(evidence.upstream, evidence.sentMs)
+        val cleared = suspects.recordAnswer(evidence)
+        table.active
+            .filter { it.covers(evidence.parts) && evidence.sentMs > it.crashes.minOf { crash -> crash.endedMs } }
+            .forEach { lift(it, QuarantineReason.ANSWERED, nowMs, evidence) }
+        return Suspicion(cleared = cleared)
+    }
+
+    private fun isNarrowedBy(
+        wider: Quarantine,
+        narrower: Quarantine,
+    ) = wider.parts.size > narrower.parts.size && wider.parts.containsAll(narrower.parts)
+
+    private fun lift(
+        quarantine: Quarantine,
+        reason: QuarantineReason,
+        nowMs: Long,
+        evidence: RunEvidence? = null,
+    ) {
+        val lifted =
+            quarantine.copy(
+                state = QuarantineState.LIFTED,
+                round = quarantine.round + 1,
+                decidedBy = self,
+                decidedMs = nowMs,
+            )
+        put(lifted, reason, nowMs, evidence)
+    }
+
+    private fun put(
+        quarantine: Quarantine,
+        reason: QuarantineReason,
+        nowMs: Long,
+        evidence: RunEvidence? = null,
+    ) {
+        table.put(quarantine, nowMs)
+        onChange(QuarantineChange(quarantine, reason, evidence))
+    }
+
+    companion object {
+        /** Upstreams that have to end under the same parts, one after the other. */
+        const val THRESHOLD = 3
+
+        /** Longer than a report takes, and than a short prompt takes to its second event. */
+        const val DECISION_DELAY_MS = 100L
+
+        /** When a request is let through, counted from the decision; no further one follows. */
+        val PROBES_AFTER_MS = listOf(10_000L, 600_000L)
+        private const val SHORTEST_RETRY_MS = 1_000L
+        private const val LONGEST_RETRY_MS = 30_000L
+    }
+}
+
+/** The parts of prompts that are newly suspected, and those that are no longer. */
+class Suspicion(
+    val suspected: List<PromptPart> = emptyList(),
+    val cleared: List<PromptPart> = emptyList(),
+) {
+    companion object {
+        val NONE = Suspicion()
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/quarantine/Quarantine.kt
@@ -0,0 +1,55 @@
+package samphirechute.routing.quarantine
+
+import samphirechute.core.InstanceId
+import samphirechute.core.PromptPart
+
+/**
+ * What is believed about prompts that contain all of [parts]: that they crash upstreams, or that they no longer do. Times
+ * are those of the clock of the instance that holds it.
+ */
+data class Quarantine(
+    val parts: Set<PromptPart>,
+    val state: QuarantineState,
+    /** Grows each time that the same parts are put in quarantine or released. */
+    val round: Int,
+    /** The ends of upstreams from which it was decided. */
+    val crashes: List<Crash>,
+    val decidedBy: InstanceId,
+    val decidedMs: Long,
+    /** The requests that were sent since then to see whether the quarantine is right. */
+    val probes: Int = 0,
+) {
+    val isActive: Boolean get() = state == QuarantineState.ACTIVE
+
+    fun covers(prompt: Set<PromptPart>) = isActive && prompt.containsAll(parts)
+
+    /** Returns whether this replaces [other], which is about the same parts. */
+    fun isNewerThan(other: Quarantine) = compareValuesBy(this, other, { it.round }, { it.probes }) > 0
+}
+
+enum class QuarantineState { ACTIVE, LIFTED }
+
+/** Why a quarantine changed. */
+enum class QuarantineReason {
+    /** Upstreams ended one after the other under the same parts. */
+    CRASHES,
+
+    /** An answer was written on the parts. */
+    ANSWERED,
+
+    /** Fewer parts explain the same. */
+    NARROWED,
+
+    /** Another instance told of it. */
+    LEARNED,
+
+    /** A request was sent to see whether it is right. */
+    PROBED,
+}
+
+data class QuarantineChange(
+    val quarantine: Quarantine,
+    val reason: QuarantineReason,
+    /** The answer from which it follows; null if it does not follow from one. */
+    val evidence: RunEvidence? = null,
+)
--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/quarantine/RunEvidence.kt
@@ -0,0 +1,31 @@
+package samphirechute.routing.quarantine
+
+import kotlinx.serialization.Serializable
+import samphirechute.core.InstanceId
+import samphirechute.core.PromptPart
+import samphirechute.core.RequestId
+import samphirechute.core.UpstreamId
+
+/**
+ * What one attempt tells about the parts of its prompt. Times are those of the clock of the instance that holds it.
+ */
+data class RunEvidence(
+    val request: RequestId,
+    /** The instance that sent the request. */
+    val instance: InstanceId,
+    val upstream: UpstreamId,
+    /** The parts of the prompt that other requests may share. */
+    val parts: Set<PromptPart>,
+    val sentMs: Long,
+    val endedMs: Long,
+    val outcome: RunOutcome,
+)
+
+@Serializable
+enum class RunOutcome {
+    /** The upstream ended the connection when it had written no more than the beginning of the answer. */
+    LOST,
+
+    /** The upstream has written more than the beginning of the answer, or all of it. */
+    SOUND,
+}
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -66,6 +66,10 @@
     val departed: List<UpstreamRecord> = emptyList(),
     /** The newest version of the limits of upstreams that the sender holds; [NO_RECORDS] as for [recordsVersion]. */
     val limitsVersion: Long = NO_RECORDS,
+    /** The newest version of the quarantines that the sender holds from this control instance. */
+    val quarantineVersion: Long = NO_RECORDS,
+    /** All quarantines that the sender holds, for a control instance that has restarted. */
+    val quarantines: List<QuarantineNotice> = emptyList(),
 ) {
     companion object {
         const val NO_RECORDS = Long.MAX_VALUE
@@ -95,6 +99,9 @@
     val limitsVersion: Long = 0,
     /** Limits of upstreams that were named, changed or ended. */
     val limits: List<LimitNotice> = emptyList(),
+    val quarantineVersion: Long = 0,
+    /** Quarantines of prompts that were decided, probed or lifted. */
+    val quarantines: List<QuarantineNotice> = emptyList(),
 )
 
 /** Asks for the configuration if it is newer than [revision]. */
@@ -160,6 +167,10 @@
     val isWhole: Boolean = false,
     /** What the instance has read in answers about the limits of upstreams. */
     val limits: List<LimitNotice> = emptyList(),
+    /** How attempts ended that are evidence for or against a quarantine. */
+    val runs: List<RunNotice> = emptyList(),
+    /** Quarantines that the instance has decided itself, or all if the report is whole. */
+    val quarantines: List<QuarantineNotice> = emptyList(),
 )
 
 /** A request that runs on [upstream]. */
--- /dev/null
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/QuarantineRegistry.kt
@@ -0,0 +1,187 @@
+package samphirechute.serving.cluster
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import samphirechute.core.InstanceId
+import samphirechute.core.PromptPart
+import samphirechute.core.log.KeyValueLog
+import samphirechute.core.time.TimerService
+import samphirechute.routing.quarantine.Crash
+import samphirechute.routing.quarantine.PromptQuarantine
+import samphirechute.routing.quarantine.Quarantine
+import samphirechute.routing.quarantine.QuarantineChange
+import samphirechute.routing.quarantine.QuarantineReason
+import samphirechute.routing.quarantine.RunEvidence
+import samphirechute.routing.quarantine.RunOutcome
+
+/**
+ * The prompts that this instance believes to crash upstreams, from how attempts ended and from what other instances have
+ * decided. Each suspicion and each change is logged with what it follows from, and metrics give numbers and ages.
+ */
+class QuarantineRegistry(
+    private val self: InstanceId,
+    private val timer: TimerService,
+    private val quarantine: PromptQuarantine,
+    registry: PrometheusRegistry,
+) {
+    /** Receives what the instance that places requests has to know of attempts of this one. */
+    var onEvidence: (RunEvidence) -> Unit = {}
+
+    /** Receives each change, whether it was decided here or learned from another instance. */
+    var onChange: (QuarantineChange) -> Unit = {}
+
+    /** True while no other instance takes evidence, so that this one has to decide from its own. */
+    var isAlone: () -> Boolean = { false }
+
+    /** Grows with each change of a quarantine. */
+    val version: Long get() = quarantine.version
+
+    private var isDecisionScheduled = false
+    private var lastLossMs = Long.MIN_VALUE / 2
+    private val refused =
+        Counter
+            .builder()
+            .name("samphirechute_quarantine_refusals_total")
+            .help("Grants that were not used because the prompt is in quarantine here.")
+            .register(registry)
+
+    init {
+        quarantine.onChange = ::changed
+        gauge(registry, "samphirechute_quarantined_prompts", "The quarantines of prompts that are in force here.") {
+            quarantine.active.size.toDouble()
+        }
+        gauge(
+            registry,
+            "samphirechute_suspected_prompt_parts",
+            "The parts of prompts suspected of crashing upstreams.",
+        ) {
+            quarantine.suspected.toDouble()
+        }
+        gauge(
+            registry,
+            "samphirechute_quarantine_evidence_age_seconds",
+            "The time since the last crash that led to a quarantine in force here; 0 without one.",
+        ) { (quarantine.active.maxOfOrNull(::lastCrashMs)?.let { timer.nowMs() - it } ?: 0) / MS_PER_SECOND }
+    }
+
+    /** Takes in how an attempt of this instance ended, and passes it on. */
+    fun observe(evidence: RunEvidence) {
+        if (evidence.parts.isEmpty()) return
+        if (isAlone()) record(evidence)
+        onEvidence(evidence)
+    }
+
+    /** Returns whether an answer on [parts] has to be observed although no coordinator asks for it. */
+    fun isInQuestion(parts: Set<PromptPart>): Boolean = isAlone() && quarantine.isInQuestion(parts)
+
+    /** Returns the quarantine that a prompt with [parts] is in, or null. */
+    fun find(parts: Set<PromptPart>): Quarantine? = quarantine.find(parts, timer.nowMs())
+
+    /** Counts a grant that is not used because of [found] and returns the time after which the request may come back. */
+    fun refuse(found: Quarantine): Long {
+        refused.inc()
+        return quarantine.retryAfterMs(found, timer.nowMs())
+    }
+
+    /** Takes in how attempts of another instance ended. */
+    fun record(notices: List<RunNotice>) = notices.forEach { record(it.toEvidence(timer.nowMs())) }
+
+    /** Takes over what other instances have decided. */
+    fun merge(notices: List<QuarantineNotice>) {
+        val nowMs = timer.nowMs()
+        quarantine.merge(notices.map { it.toQuarantine(nowMs) }, nowMs)
+    }
+
+    /** Returns what has changed since [version], for other instances. */
+    fun changedAfter(version: Long): List<QuarantineNotice> = quarantine.changedAfter(version).map(::notice)
+
+    /** Returns all that is believed, lifted quarantines too, for an instance that may know nothing or something older. */
+    fun all(): List<QuarantineNotice> = changedAfter(0)
+
+    fun notice(evidence: RunEvidence) = RunNotice.of(evidence, timer.nowMs())
+
+    fun notice(entry: Quarantine) = QuarantineNotice.of(entry, timer.nowMs())
+
+    fun forget() = quarantine.forget(timer.nowMs())
+
+    private fun record(evidence: RunEvidence) {
+        val suspicion = quarantine.record(evidence, timer.nowMs())
+        if (suspicion.suspected.isNotEmpty()) logSuspicion("prompt_parts_suspected", suspicion.suspected, evidence)
+        if (suspicion.cleared.isNotEmpty()) logSuspicion("prompt_parts_cleared", suspicion.cleared, evidence)
+        if (evidence.outcome != RunOutcome.LOST) return
+        lastLossMs = maxOf(lastLossMs, evidence.endedMs)
+        scheduleDecision()
+    }
+
+    /** Decides once the evidence of the last loss is old enough. */
+    private fun scheduleDecision(afterMs: Long = PromptQuarantine.DECISION_DELAY_MS) {
+        if (isDecisionScheduled) return
+        isDecisionScheduled = true
+        timer.after(afterMs) {
+            isDecisionScheduled = false
+            val nowMs = timer.nowMs()
+            quarantine.decide(nowMs)
+            val leftMs = lastLossMs + PromptQuarantine.DECISION_DELAY_MS - nowMs
+            if (leftMs > 0) scheduleDecision(leftMs)
+        }
+    }
+
+    private fun changed(change: QuarantineChange) {
+        val entry = change.quarantine
+        log.event(
+            if (entry.isActive) "prompt_quarantined" else "quarantine_lifted",
+            mapOf(
+                "parts" to entry.parts.take(MAX_LOGGED_PARTS),
+                "reason" to change.reason.name.lowercase(),
+                "round" to entry.round,
+                "probes" to entry.probes,
+                "crashed" to entry.crashes.map { "${it.upstream}/${timer.nowMs() - it.endedMs}ms" },
+                "decided_by" to entry.decidedBy,
+                "decided_age_ms" to timer.nowMs() - entry.decidedMs,
+                "request" to change.evidence?.request,
+                "answered_by" to change.evidence?.upstream,
+            ),
+        )
+        onChange(change)
+    }
+
+    private fun logSuspicion(
+        event: String,
+        parts: List<PromptPart>,
+        evidence: RunEvidence,
+    ) = log.event(
+        event,
+        mapOf(
+            "parts" to parts.take(MAX_LOGGED_PARTS),
+            "number" to parts.size,
+            "request" to evidence.request,
+            "sent_by" to evidence.instance,
+            "upstream" to evidence.upstream,
+            "ran_ms" to evidence.endedMs - evidence.sentMs,
+            "age_ms" to timer.nowMs() - evidence.endedMs,
+        ),
+    )
+
+    private fun lastCrashMs(entry: Quarantine) = entry.crashes.maxOfOrNull(Crash::endedMs) ?: entry.decidedMs
+
+    private fun gauge(
+        registry: PrometheusRegistry,
+        name: String,
+        help: String,
+        value: () -> Double,
+    ) {
+        GaugeWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .callback { it.call(value()) }
+            .register(registry)
+    }
+
+    private companion object {
+        const val MS_PER_SECOND = 1_000.0
+        const val MAX_LOGGED_PARTS = 16
+        val log = KeyValueLog("quarantine")
+    }
+}
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -28,6 +28,11 @@
 
     fun applyLimits(limits: List<LimitNotice>) = Unit
 
+    fun applyQuarantines(quarantines: List<QuarantineNotice>) = Unit
+
+    /** The quarantines of prompts that this instance knows. */
+    fun quarantines(): List<QuarantineNotice> = emptyList()
+
     /** Upstreams that are leaving or have left, as this instance knows them. */
     fun departed(): List<UpstreamRecord> = emptyList()
 }
@@ -122,6 +127,7 @@
         reply.drains?.let { if (it.version > listener.drainVersion) listener.applyDrains(it) }
         if (reply.records.isNotEmpty()) listener.applyRecords(reply.records)
         if (reply.limits.isNotEmpty()) listener.applyLimits(reply.limits)
+        if (reply.quarantines.isNotEmpty()) listener.applyQuarantines(reply.quarantines)
         addInstances(reply.members)
         reply.config?.let { acceptContent(it, link) }
         fetchNewest()
@@ -202,6 +208,7 @@
         private var incarnation = 0L
         private var recordsVersion = 0L
         private var limitsVersion = 0L
+        private var quarantineVersion = 0L
         private var reportedLeader: InstanceId? = null
 
         /** True after the first answer of a new incarnation; the next poll sends it the departed upstreams. */
@@ -226,6 +233,8 @@
                     reportedLeader,
                     if (isIncarnationNew) listener.departed() else emptyList(),
                     if (takesRecords) limitsVersion else WatchRequest.NO_RECORDS,
+                    quarantineVersion,
+                    if (isIncarnationNew) listener.quarantines() else emptyList(),
                 )
             client.call(address, ClusterRoutes.watch, request, POLL_TIMEOUT_MS) { result ->
                 result.fold({ onAnswer(it, takesRecords) }, ::onFailure)
@@ -240,6 +249,7 @@
             isUp = true
             failures = 0
             isIncarnationNew = incarnation != reply.incarnation
+            quarantineVersion = reply.quarantineVersion
             if (takesRecords) {
                 incarnation = reply.incarnation
                 recordsVersion = reply.recordsVersion
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -10,6 +10,7 @@
 import samphirechute.net.peer.PeerClient
 import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.placing.Placer
+import samphirechute.routing.quarantine.PromptQuarantine
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.ClusterView
 import samphirechute.serving.cluster.ConfigReader
@@ -17,6 +18,8 @@
 import samphirechute.serving.cluster.LeavingNotice
 import samphirechute.serving.cluster.LimitNotice
 import samphirechute.serving.cluster.LimitRegistry
+import samphirechute.serving.cluster.QuarantineNotice
+import samphirechute.serving.cluster.QuarantineRegistry
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamRecord
 import samphirechute.serving.cluster.WatchListener
@@ -41,10 +44,12 @@
     val store: StoreMember = StoreMember(settings, timer, client, loop::post)
     private val upstreamLimits = UpstreamLimits { if (store.isLeader) 1 else store.members.size }
     private val limits = LimitRegistry(settings.instance, timer, upstreamLimits, metrics)
-    private val placer = Placer(limits = upstreamLimits)
+    private val promptQuarantine = PromptQuarantine(settings.instance)
+    private val quarantine = QuarantineRegistry(settings.instance, timer, promptQuarantine, metrics)
+    private val placer = Placer(limits = upstreamLimits, quarantine = promptQuarantine)
     private val view = ClusterView(reader, timer, placer)
     val registry: UpstreamRegistry = UpstreamRegistry(timer, settings.announceEveryMs, ::upstreamsChanged)
-    private val watchServer = WatchServer(timer, store, registry, limits, incarnation)
+    private val watchServer = WatchServer(timer, store, registry, limits, quarantine, incarnation)
     private val placements =
         PlacementCoordinator(
             timer,
@@ -54,6 +59,7 @@
             watchServer::isLost,
             registry::markDraining,
             ::mergeLimits,
+            quarantine,
         )
     private val watcher = Watcher(settings, timer, client, isEntry = false, Listener())
     private val departures = DepartureReplicator(timer, registry, Peers())
@@ -78,7 +84,11 @@
         registry.start()
         placements.start()
         watcher.start()
-        timer.every(FORGET_EVERY_MS) { limits.forget(registry.table::isPresent) }
+        quarantine.onChange = { watchServer.onUpstreamsChanged() }
+        timer.every(FORGET_EVERY_MS) {
+            limits.forget(registry.table::isPresent)
+            quarantine.forget()
+        }
         log.event("control_started", mapOf("instance" to settings.instance, "name" to settings.name))
     }
 
@@ -141,6 +151,10 @@
         override fun applyRecords(records: List<UpstreamRecord>) = registry.mergeRecords(records)
 
         override fun applyLimits(limits: List<LimitNotice>) = mergeLimits(limits)
+
+        override fun applyQuarantines(quarantines: List<QuarantineNotice>) = quarantine.merge(quarantines)
+
+        override fun quarantines() = quarantine.all()
     }
 
     private companion object {
--- a/serving/src/main/kotlin/samphirechute/serving/control/PlacementCoordinator.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlacementCoordinator.kt
@@ -14,6 +14,7 @@
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.LimitNotice
 import samphirechute.serving.cluster.PlacementReply
+import samphirechute.serving.cluster.QuarantineRegistry
 
 /**
  * Places requests for all instances: it answers their placement calls and takes in their reports. The store's leader
@@ -28,6 +29,7 @@
     private val isLost: (InstanceId) -> Boolean,
     private val onUpstreamLeaving: (UpstreamId, bornMs: Long) -> Unit,
     private val onLimits: (List<LimitNotice>) -> Unit,
+    private val quarantine: QuarantineRegistry,
 ) {
     private val startedMs = timer.nowMs()
 
@@ -54,6 +56,8 @@
             exchange.answer(Unit)
             message.withdrawn.forEach(::discard)
             if (message.limits.isNotEmpty()) onLimits(message.limits)
+            if (message.quarantines.isNotEmpty()) quarantine.merge(message.quarantines)
+            quarantine.record(message.runs)
             message.results.forEach { result -> result.leavingBornMs?.let { onUpstreamLeaving(result.upstream, it) } }
             deliver(placer.applyReport(message, timer.nowMs()))
         }
@@ -64,6 +68,7 @@
         val leader = store.leader
         if (leader != null && !store.isLeader && store.hasLeaderContact) return PlacementReply(coordinator = leader)
         placer.hasPeerPlacers = !store.isLeader
+        placer.mayProbe = store.isLeader
         placer.isLearning = timer.nowMs() - startedMs < announceEveryMs + ANNOUNCE_MARGIN_MS
         val placement = placer.place(request, timer.nowMs())
         if (placement != null) return PlacementReply(placement)
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
@@ -9,6 +9,7 @@
 import samphirechute.serving.cluster.ConfigReply
 import samphirechute.serving.cluster.DrainedDomains
 import samphirechute.serving.cluster.LimitRegistry
+import samphirechute.serving.cluster.QuarantineRegistry
 import samphirechute.serving.cluster.WatchReply
 import samphirechute.serving.cluster.WatchRequest
 import samphirechute.state.command.DrainTarget
@@ -22,6 +23,7 @@
     private val store: StoreMember,
     private val registry: UpstreamRegistry,
     private val limits: LimitRegistry,
+    private val quarantine: QuarantineRegistry,
     private val incarnation: Long,
 ) {
     /** The requests that wait for an answer, at most one for each instance. */
@@ -42,6 +44,7 @@
             if (request.isEntry) entryLastSeenMs[request.from] = timer.nowMs()
             // Merged before the answer is composed, so that the answer includes them.
             if (request.departed.isNotEmpty()) registry.mergeRecords(request.departed)
+            if (request.quarantines.isNotEmpty()) quarantine.merge(request.quarantines)
             longPolls.remove(request.from)?.timeout?.cancel()
             if (isOutdated(request) && !waitsForRecordsOnly(request)) {
                 exchange.answer(reply(request))
@@ -165,19 +168,26 @@
     /** True when this instance has something that the sender of [request] does not have. */
     private fun isOutdated(request: WatchRequest) =
         request.incarnation != incarnation || request.recordsVersion < registry.table.version ||
-            request.limitsVersion < limits.version ||
+            request.limitsVersion < limits.version || request.quarantineVersion < quarantine.version ||
             (store.hasLeaderContact && request.leader != store.leader) ||
             request.revision < revision || request.drainVersion < store.state.drainVersion
 
     /** True for an entry instance that lacks only records and limits, which the scheduled update will bring. */
     private fun waitsForRecordsOnly(request: WatchRequest) =
         request.isEntry && isEntryUpdateScheduled &&
-            !isOutdated(request.copy(recordsVersion = registry.table.version, limitsVersion = limits.version))
+            !isOutdated(
+                request.copy(
+                    recordsVersion = registry.table.version,
+                    limitsVersion = limits.version,
+                    quarantineVersion = quarantine.version,
+                ),
+            )
 
     private fun reply(request: WatchRequest): WatchReply {
         val isKnown = request.incarnation == incarnation || request.recordsVersion == WatchRequest.NO_RECORDS
         val known = if (isKnown) request.recordsVersion else 0
         val knownLimits = if (isKnown) request.limitsVersion else 0
+        val knownQuarantine = if (request.incarnation == incarnation) request.quarantineVersion else 0
         if (request.isEntry) deliveredRevisions[request.from] = revision
         return WatchReply(
             incarnation,
@@ -192,6 +202,8 @@
             entryCount(),
             limits.version,
             limits.changedAfter(knownLimits),
+            quarantine.version,
+            quarantine.changedAfter(knownQuarantine),
         )
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -9,11 +9,14 @@
 import samphirechute.routing.flow.RetryBudget
 import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.placing.Placer
+import samphirechute.routing.quarantine.PromptQuarantine
 import samphirechute.serving.cluster.ClusterView
 import samphirechute.serving.cluster.ConfigReader
 import samphirechute.serving.cluster.DrainedDomains
 import samphirechute.serving.cluster.LimitNotice
 import samphirechute.serving.cluster.LimitRegistry
+import samphirechute.serving.cluster.QuarantineNotice
+import samphirechute.serving.cluster.QuarantineRegistry
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamAvailability
 import samphirechute.serving.cluster.UpstreamRecord
@@ -45,9 +48,11 @@
     private val watcher: Watcher = Watcher(settings, timer, peerClient, isEntry = true, Listener())
     private val upstreamLimits = UpstreamLimits { watcher.entries }
     private val limits = LimitRegistry(settings.instance, timer, upstreamLimits, registry)
-    private val placer = Placer(spreadSeed = settings.instance.hashCode(), upstreamLimits)
+    private val promptQuarantine = PromptQuarantine(settings.instance)
+    private val quarantine = QuarantineRegistry(settings.instance, timer, promptQuarantine, registry)
+    private val placer = Placer(spreadSeed = settings.instance.hashCode(), upstreamLimits, promptQuarantine)
     private val view = ClusterView(reader, timer, placer)
-    private val placements = PlacementClient(settings.instance, timer, peerClient, watcher, placer, limits)
+    private val placements = PlacementClient(settings.instance, timer, peerClient, watcher, placer, limits, quarantine)
     private val budget = RetryBudget { settings.retryFloor / watcher.entries }
     private val availability = UpstreamAvailability(timer, table, { view.drains }) { view.applyRecords(table.all()) }
     private val requestHandler =
@@ -61,6 +66,7 @@
                 budget,
                 availability,
                 limits,
+                quarantine,
                 RequestLog(registry),
             ),
         )
@@ -82,6 +88,7 @@
         timer.every(FORGET_EVERY_MS) {
             table.forgetGone(timer.nowMs())
             limits.forget(table::isPresent)
+            quarantine.forget()
         }
         log.event("entry_started", mapOf("instance" to settings.instance, "name" to settings.name))
     }
@@ -126,6 +133,10 @@
             this@EntryNode.limits.merge(limits)
         }
 
+        override fun applyQuarantines(quarantines: List<QuarantineNotice>) = quarantine.merge(quarantines)
+
+        override fun quarantines() = quarantine.all()
+
         override fun departed() = table.all().filter { it.state != UpstreamState.READY }
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import samphirechute.core.InstanceId
+import samphirechute.core.PromptPart
 import samphirechute.core.RequestId
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
@@ -16,11 +17,16 @@
 import samphirechute.routing.placing.PlacementResult
 import samphirechute.routing.placing.Placer
 import samphirechute.routing.placing.RefusedReason
+import samphirechute.routing.quarantine.Quarantine
+import samphirechute.routing.quarantine.QuarantineChange
+import samphirechute.routing.quarantine.QuarantineReason
+import samphirechute.routing.quarantine.RunEvidence
 import samphirechute.serving.cluster.AwaitRequest
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.LimitRegistry
 import samphirechute.serving.cluster.PlacementReply
 import samphirechute.serving.cluster.PlacementReport
+import samphirechute.serving.cluster.QuarantineRegistry
 import samphirechute.serving.cluster.RunningPlacement
 import samphirechute.serving.cluster.Watcher
 import samphirechute.serving.cluster.address
@@ -40,6 +46,7 @@
     private val watcher: Watcher,
     private val localPlacer: Placer,
     private val limits: LimitRegistry,
+    private val quarantine: QuarantineRegistry,
 ) {
     /** Requests that wait in the queue of the local placer. */
     private val localWaiting = HashMap<RequestId, (Placement, String) -> Unit>()
@@ -55,6 +62,10 @@
     private val withdrawn = ArrayList<RequestId>()
     private val ownPlacements = ArrayList<RunningPlacement>()
     private val limitEvidence = LinkedHashMap<UpstreamId, LimitEvidence>()
+
+    /** What has not reached a coordinator yet about prompts that crash upstreams; kept while there is none. */
+    private val runEvidence = ArrayDeque<RunEvidence>()
+    private val ownQuarantines = LinkedHashMap<Set<PromptPart>, Quarantine>()
     private val ticks =
         OnDemandTimer(timer, TICK_MS, { localWaiting.isNotEmpty() }) { deliverLocal(localPlacer.tick(timer.nowMs())) }
 
@@ -76,6 +87,24 @@
             limitEvidence[it.upstream] = it
             scheduleReport()
         }
+        quarantine.isAlone = { coordinator() == null }
+        quarantine.onEvidence = {
+            keepEvidence(listOf(it))
+            scheduleReport()
+        }
+        quarantine.onChange = ::keepChange
+    }
+
+    private fun keepEvidence(evidence: List<RunEvidence>) {
+        runEvidence += evidence
+        while (runEvidence.size > MAX_PENDING_RUNS) runEvidence.removeFirst()
+    }
+
+    private fun keepChange(change: QuarantineChange) {
+        if (change.reason == QuarantineReason.LEARNED) return
+        ownQuarantines[change.quarantine.parts] = change.quarantine
+        while (ownQuarantines.size > MAX_PENDING_QUARANTINES) ownQuarantines -= ownQuarantines.keys.first()
+        scheduleReport()
     }
 
     /**
@@ -251,13 +280,31 @@
         val placed = if (isFullReportDue) running.values.toList() else ownPlacements.toList()
         val sentLimits = limitEvidence.toMap()
         val notices = sentLimits.values.map(limits::notice) + if (isFullReportDue) limits.all() else emptyList()
-        val message = PlacementReport(self, results.toList(), placed, withdrawn.toList(), isFullReportDue, notices)
+        val sentRuns = runEvidence.toList()
+        val sentQuarantines = ownQuarantines.toMap()
+        val quarantines =
+            if (isFullReportDue) quarantine.all() else sentQuarantines.values.map(quarantine::notice)
+        val message =
+            PlacementReport(
+                self,
+                results.toList(),
+                placed,
+                withdrawn.toList(),
+                isFullReportDue,
+                notices,
+                sentRuns.map(quarantine::notice),
+                quarantines,
+            )
         clearPending()
+        runEvidence.clear()
+        ownQuarantines.clear()
         isReporting = true
         client.call(address, ClusterRoutes.ends, message, REPORT_TIMEOUT_MS) { result ->
             isReporting = false
             result.fold({ if (isReportDue()) scheduleReport() }) {
                 sentLimits.forEach(limitEvidence::putIfAbsent)
+                keepEvidence(sentRuns)
+                sentQuarantines.forEach(ownQuarantines::putIfAbsent)
                 requeue(message)
             }
         }
@@ -265,7 +312,7 @@
 
     private fun isReportDue() =
         isFullReportDue || results.isNotEmpty() || ownPlacements.isNotEmpty() || withdrawn.isNotEmpty() ||
-            limitEvidence.isNotEmpty()
+            limitEvidence.isNotEmpty() || runEvidence.isNotEmpty() || ownQuarantines.isNotEmpty()
 
     /**
      * Puts the contents of a failed report into the next one. A lost report would keep capacity occupied until the
@@ -307,6 +354,8 @@
         const val REPORT_RETRY_MS = 400L
         const val EXPIRED_RETRY_MS = 300L
         const val MAX_PENDING_RESULTS = 1_000
+        const val MAX_PENDING_RUNS = 256
+        const val MAX_PENDING_QUARANTINES = 256
         val log = KeyValueLog("place")
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -40,6 +40,8 @@
      * it.
      */
     private val canBeReplaced: () -> Boolean,
+    /** Called once when the answer has got beyond its beginning. */
+    private val onProgress: (Attempt) -> Unit,
     private val onResult: (Attempt, AttemptResult) -> Unit,
 ) : ResponseListener {
     private val startedMs = context.timer.nowMs()
@@ -61,6 +63,9 @@
     var events = 0
         private set
 
+    /** False while the upstream may still be working on the beginning of the answer. */
+    val isBeyondBeginning: Boolean get() = events >= BEGINNING_EVENTS
+
     /** The status of the answer; null before its head has arrived. */
     val status: Int? get() = head?.status
 
@@ -130,9 +135,9 @@
     }
 
     override fun onEnd() {
-        val current = head ?: return fail("empty_answer")
+        val current = head ?: return fail("empty_answer", isBrokenOff = true)
         if (sink != null && current.status == OK) {
-            if (firstByteMs == null || !splitter.isAtBoundary) return fail("stream_cut")
+            if (firstByteMs == null || !splitter.isAtBoundary) return fail("stream_cut", isBrokenOff = true)
             return finish(AttemptResult.StreamEnded)
         }
         if (firstByteMs == null) firstByteMs = elapsedMs()
@@ -171,7 +176,7 @@
             }
 
             is ClientFailure.Closed -> {
-                fail("closed")
+                fail("closed", isBrokenOff = true)
             }
 
             is ClientFailure.Malformed -> {
@@ -194,6 +199,7 @@
             if (!event.isComment) {
                 hasAdvanced = true
                 events++
+                if (events == BEGINNING_EVENTS) onProgress(this)
                 if (firstByteMs == null) firstByteMs = elapsedMs()
             }
             if (!sink.onEvent(current, event)) fail("event_out_of_order")
@@ -217,15 +223,13 @@
     private fun fail(
         reason: String,
         isStalled: Boolean = false,
+        isBrokenOff: Boolean = false,
     ) {
         if (isDone) return
         call?.cancel()
         finish(
             if (isSent) {
-                AttemptResult.Lost(
-                    reason,
-                    isStalled,
-                )
+                AttemptResult.Lost(reason, isStalled, isBrokenOff)
             } else {
                 AttemptResult.NotRun(reason, false, isConnected = false)
             },
@@ -243,6 +247,9 @@
 
     private companion object {
         const val OK = 200
+
+        /** An upstream writes an event for each pass, so it has survived the first one. */
+        const val BEGINNING_EVENTS = 2
         val SUCCESS = 200..299
 
         /** Upstreams close idle connections. One that was used recently is unlikely to be closed during a request. */
--- a/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
@@ -40,5 +40,7 @@
     class Lost(
         reason: String,
         isStalled: Boolean = false,
+        /** The upstream ended the connection before the answer was complete, as when it crashes. */
+        val isBrokenOff: Boolean = false,
     ) : AttemptResult(if (isStalled) PlacementOutcome.STALLED else PlacementOutcome.FAILED, reason)
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -12,6 +12,9 @@
 import samphirechute.routing.placing.PlacementRequest
 import samphirechute.routing.placing.PlacementResult
 import samphirechute.routing.placing.TurnedAway
+import samphirechute.routing.quarantine.Quarantine
+import samphirechute.routing.quarantine.RunEvidence
+import samphirechute.routing.quarantine.RunOutcome
 import samphirechute.serving.cluster.Repeatability
 import samphirechute.serving.cluster.Route
 import samphirechute.serving.cluster.Team
@@ -50,6 +53,9 @@
     private var firstByteMs: Long? = null
     private var sends = 0
 
+    /** True if the coordinator has to know when the answer to the current attempt gets beyond its beginning. */
+    private var isWatched = false
+
     /** True once an upstream may have run the request; the final answer then must not say otherwise. */
     private var mayHaveRun = false
 
@@ -122,6 +128,7 @@
                 excluded,
                 context.timer.nowMs() - (lastEventMs ?: arrivedMs),
                 hasBegun = stream != null,
+                sharedParts = caller.sharedParts,
             )
         context.placementClient.place(request) { placement, by ->
             if (isDone) releasePlacement(placement) else onPlacement(placement, by)
@@ -152,6 +159,9 @@
     ) {
         if (!context.availability.isAvailable(granted.upstream)) return decline(granted, by, "unavailable")
         if (!context.limits.admits(granted)) return decline(granted, by, "limit")
+        val quarantine = context.quarantine.find(caller.sharedParts).takeUnless { granted.isProbe }
+        if (quarantine != null) return refuseQuarantined(granted, by, quarantine)
+        isWatched = granted.isWatched
         sends++
         upstream = granted.upstream
         context.log.event(
@@ -170,6 +180,8 @@
                 "tokens" to caller.promptTokens,
                 "parts" to caller.sharedParts.take(MAX_LOGGED_PARTS),
                 "resumes" to (stream != null),
+                "watched" to granted.isWatched,
+                "probe" to granted.isProbe,
             ),
         )
         val next =
@@ -185,6 +197,7 @@
                     isLast = !isRepeatable || runs + 1 >= route.maxAttempts,
                 ),
                 { canBeReplaced(granted.upstream) },
+                { observeRun(granted.upstream, it, RunOutcome.SOUND) },
                 ::onAttemptEnded,
             )
         attempt = next
@@ -193,6 +206,30 @@
         hold.acquire { isGranted -> if (attempt === next) send(next, granted, hold, isGranted) }
     }
 
+    /** Rejects a placement of a prompt that is in quarantine here, which the coordinator did not know when it granted it. */
+    private fun refuseQuarantined(
+        granted: Placement.Granted,
+        by: String,
+        quarantine: Quarantine,
+    ) {
+        context.placementClient.reportEnd(placementResult(granted.upstream, PlacementOutcome.CANCELLED, null))
+        val retryAfterMs = context.quarantine.refuse(quarantine)
+        context.log.event(
+            "place_declined",
+            mapOf(
+                "request" to requestId,
+                "upstream" to granted.upstream,
+                "by" to by,
+                "reason" to "quarantined",
+                "parts" to quarantine.parts.take(MAX_LOGGED_PARTS),
+                "decided_by" to quarantine.decidedBy,
+                "decided_age_ms" to context.timer.nowMs() - quarantine.decidedMs,
+                "after_ms" to elapsedMs(),
+            ),
+        )
+        giveUp("quarantined", retryAfterMs)
+    }
+
     /**
      * Rejects a placement on an upstream that is leaving, has turned this instance away or takes no more requests for
      * now, which the coordinator does not know yet, and asks for another one.
@@ -255,6 +292,7 @@
         )
         context.log.recordAttempt(result.label)
         logEnd(target, endedAttempt, result)
+        observeEnd(target, endedAttempt, result)
         attempt = null
         memory?.release()
         when (result) {
@@ -285,6 +323,33 @@
         ) + partsField(result is AttemptResult.Lost),
     )
 
+    /** Reports a run that ended with its upstream at the beginning of the answer, and a short answer that is complete. */
+    private fun observeEnd(
+        target: UpstreamId,
+        ended: Attempt,
+        result: AttemptResult,
+    ) {
+        if (ended.isBeyondBeginning) return
+        when (result) {
+            is AttemptResult.Lost -> if (result.isBrokenOff) observeRun(target, ended, RunOutcome.LOST)
+            is AttemptResult.Answered -> if (result.head.status == OK) observeRun(target, ended, RunOutcome.SOUND)
+            is AttemptResult.StreamEnded -> observeRun(target, ended, RunOutcome.SOUND)
+            is AttemptResult.NotRun -> Unit
+        }
+    }
+
+    private fun observeRun(
+        target: UpstreamId,
+        run: Attempt,
+        outcome: RunOutcome,
+    ) {
+        val parts = caller.sharedParts
+        if (outcome == RunOutcome.SOUND && !isWatched && !context.quarantine.isInQuestion(parts)) return
+        val nowMs = context.timer.nowMs()
+        val instance = context.settings.instance
+        context.quarantine.observe(RunEvidence(requestId, instance, target, parts, run.sentMs, nowMs, outcome))
+    }
+
     private fun partsField(isNamed: Boolean) =
         if (isNamed) mapOf("parts" to caller.sharedParts.take(MAX_LOGGED_PARTS)) else emptyMap()
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RelayContext.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayContext.kt
@@ -4,6 +4,7 @@
 import samphirechute.net.HttpClient
 import samphirechute.routing.flow.RetryBudget
 import samphirechute.serving.cluster.LimitRegistry
+import samphirechute.serving.cluster.QuarantineRegistry
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamAvailability
 import samphirechute.serving.placement.PlacementClient
@@ -18,5 +19,6 @@
     val budget: RetryBudget,
     val availability: UpstreamAvailability,
     val limits: LimitRegistry,
+    val quarantine: QuarantineRegistry,
     val log: RequestLog,
 )
--- a/serving/src/test/kotlin/samphirechute/serving/placement/PlacementClientSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/placement/PlacementClientSpec.kt
@@ -21,11 +21,13 @@
 import samphirechute.routing.placing.PlacementTarget
 import samphirechute.routing.placing.Placer
 import samphirechute.routing.placing.PoolProfile
+import samphirechute.routing.quarantine.PromptQuarantine
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.DrainedDomains
 import samphirechute.serving.cluster.LimitRegistry
 import samphirechute.serving.cluster.PlacementReply
 import samphirechute.serving.cluster.PlacementReport
+import samphirechute.serving.cluster.QuarantineRegistry
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamRecord
 import samphirechute.serving.cluster.WatchListener
@@ -61,7 +63,15 @@
         private val settings = ServingSettings("entry-1", FailureDomain("a"), HostPort("127.0.0.1", 1), listOf(address))
         private val watcher = Watcher(settings, loop.timer, client, isEntry = true, IgnoringListener)
         private val limitRegistry = LimitRegistry(settings.instance, loop.timer, limits, PrometheusRegistry())
-        private val places = PlacementClient(settings.instance, loop.timer, client, watcher, placer, limitRegistry)
+        private val quarantineRegistry =
+            QuarantineRegistry(
+                settings.instance,
+                loop.timer,
+                PromptQuarantine(settings.instance),
+                PrometheusRegistry(),
+            )
+        private val places =
+            PlacementClient(settings.instance, loop.timer, client, watcher, placer, limitRegistry, quarantineRegistry)
 
         init {
             placer.setPools(listOf(PoolProfile(SERVICE)))
