Tell the part that crashes engines from the prompts that were only near it

The part that explains the most ends is blamed, together with parts of the same prompt that explain as much, 100 ms after the evidence is sufficient, or after 400 ms if parts of different prompts explain as much, by when an answer has shown which is sound.

--- a/routing/src/main/kotlin/samphirechute/routing/quarantine/PromptQuarantine.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/quarantine/PromptQuarantine.kt
@@ -39,7 +39,7 @@
     ): Suspicion {
         if (evidence.parts.isEmpty()) return Suspicion.NONE
         return when (evidence.outcome) {
-            RunOutcome.LOST -> recordLoss(evidence)
+            RunOutcome.LOST_WAITING, RunOutcome.LOST_BEGUN -> recordLoss(evidence)
             RunOutcome.SOUND -> recordAnswer(evidence, nowMs)
         }
     }
@@ -57,7 +57,7 @@
      */
     fun decide(nowMs: Long) {
         while (true) {
-            val blame = suspects.mostSuspected(THRESHOLD, nowMs - DECISION_DELAY_MS) ?: return
+            val blame = suspects.mostSuspected(POINTS, nowMs - DECISION_DELAY_MS, nowMs - AMBIGUOUS_DELAY_MS) ?: return
             suspects.explain(blame.crashes, by = blame.parts)
             val round = (table[blame.parts]?.round ?: 0) + 1
             val quarantine = Quarantine(blame.parts, QuarantineState.ACTIVE, round, blame.crashes, self, nowMs)
@@ -138,11 +138,16 @@
         suspects.recordAlive(evidence.upstream, evidence.sentMs)
         val cleared = suspects.recordAnswer(evidence)
         table.active
-            .filter { it.covers(evidence.parts) && evidence.sentMs > it.crashes.minOf { crash -> crash.endedMs } }
+            .filter { it.covers(evidence.parts) && isLater(evidence, it) }
             .forEach { lift(it, QuarantineReason.ANSWERED, nowMs, evidence) }
         return Suspicion(cleared = cleared)
     }
 
+    private fun isLater(
+        evidence: RunEvidence,
+        quarantine: Quarantine,
+    ) = evidence.sentMs > (quarantine.crashes.minOfOrNull { it.endedMs } ?: quarantine.decidedMs)
+
     private fun isNarrowedBy(
         wider: Quarantine,
         narrower: Quarantine,
@@ -175,12 +180,16 @@
     }
 
     companion object {
-        /** Upstreams that have to end under the same parts, one after the other. */
+        /** Upstreams that have to end one after the other when they have begun to answer the same parts. */
         const val THRESHOLD = 3
+        private const val POINTS = THRESHOLD * SuspectTable.BEGUN_WEIGHT
 
         /** Longer than a report takes, and than a short prompt takes to its second event. */
         const val DECISION_DELAY_MS = 100L
 
+        /** Until then an answer has shown which of several prompts are sound. */
+        const val AMBIGUOUS_DELAY_MS = 400L
+
         /** When a request is let through, counted from the decision; no further one follows. */
         val PROBES_AFTER_MS = listOf(10_000L, 600_000L)
         private const val SHORTEST_RETRY_MS = 1_000L
--- a/routing/src/main/kotlin/samphirechute/routing/quarantine/Quarantine.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/quarantine/Quarantine.kt
@@ -12,7 +12,7 @@
     val state: QuarantineState,
     /** Grows each time that the same parts are put in quarantine or released. */
     val round: Int,
-    /** The ends of upstreams from which it was decided. */
+    /** The ends of upstreams from which it was decided; empty if it is known from the replicated log. */
     val crashes: List<Crash>,
     val decidedBy: InstanceId,
     val decidedMs: Long,
@@ -24,7 +24,12 @@
     fun covers(prompt: Set<PromptPart>) = isActive && prompt.containsAll(parts)
 
     /** Returns whether this replaces [other], which is about the same parts. */
-    fun isNewerThan(other: Quarantine) = compareValuesBy(this, other, { it.round }, { it.probes }) > 0
+    fun isNewerThan(other: Quarantine) = isNewerThan(other.round, other.probes)
+
+    fun isNewerThan(
+        round: Int,
+        probes: Int,
+    ) = this.round > round || (this.round == round && this.probes > probes)
 }
 
 enum class QuarantineState { ACTIVE, LIFTED }
--- a/routing/src/main/kotlin/samphirechute/routing/quarantine/RunEvidence.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/quarantine/RunEvidence.kt
@@ -23,8 +23,11 @@
 
 @Serializable
 enum class RunOutcome {
+    /** The upstream ended the connection when it had not begun to answer, so another prompt is more likely to blame. */
+    LOST_WAITING,
+
     /** The upstream ended the connection when it had written no more than the beginning of the answer. */
-    LOST,
+    LOST_BEGUN,
 
     /** The upstream has written more than the beginning of the answer, or all of it. */
     SOUND,
--- a/routing/src/main/kotlin/samphirechute/routing/quarantine/SuspectTable.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/quarantine/SuspectTable.kt
@@ -6,7 +6,8 @@
 /**
  * The parts of prompts that were on upstreams which ended, and how often.
  *
- * Ends of upstreams count for a part only one after the other: a request counts if it was sent after the end that was
+ * Each end gives points to the parts that were on the upstream, more if it had begun to answer the request than if that was
+ * still waiting. Ends give points only one after the other: a request counts if it was sent after the end that was
  * counted before. So upstreams that end together, as in a loss of power, count once, however many requests they ran. An
  * answer on the part that was sent after the first end and got beyond its beginning clears the part. Ends that a part in
  * quarantine explains count for no other part, and that part is considered again only after a further end.
@@ -26,7 +27,7 @@
     operator fun contains(part: PromptPart) = part in suspects
 
     /** The ends of upstreams that count for [part]. */
-    fun crashes(part: PromptPart): List<Crash> = suspects[part]?.counted.orEmpty()
+    fun crashes(part: PromptPart): List<Crash> = suspects[part]?.counted?.map { it.crash }.orEmpty()
 
     /** Counts the end of an upstream for the parts that were on it; returns the parts that were not suspected before. */
     fun recordLoss(evidence: RunEvidence): List<PromptPart> {
@@ -45,7 +46,7 @@
         val cleared =
             evidence.parts.filter { part ->
                 val first = suspects[part]?.counted?.first()
-                first != null && evidence.sentMs > first.endedMs - CLOCK_TOLERANCE_MS
+                first != null && evidence.sentMs > first.crash.endedMs - CLOCK_TOLERANCE_MS
             }
         suspects.keys -= cleared.toSet()
         return cleared
@@ -66,29 +67,31 @@
     }
 
     /**
-     * Returns the parts to blame for at least [threshold] ends, the last of them until [untilMs], or null. Parts that were
-     * together in one prompt and on as many ends cannot be told apart, so they are blamed together. A prompt that has more
-     * of them explains an end better than another one that was on the same upstream.
+     * Returns the parts that explain the most ends, if these give at least [threshold] points until [untilMs], or null.
+     * Parts of one prompt that explain as much cannot be told apart, whatever their points, so they are blamed together. If
+     * parts of different prompts explain as much, only what has happened until [ambiguousUntilMs] counts.
      */
     fun mostSuspected(
         threshold: Int,
         untilMs: Long,
+        ambiguousUntilMs: Long,
     ): Blame? {
-        val (most, suspect) =
-            suspects.entries
-                .filter { it.value.until(untilMs).size >= maxOf(threshold, it.value.settled + 1) }
-                .maxByOrNull { it.value.until(untilMs).size } ?: return null
-        val last = suspect.until(untilMs).last()
+        val open = suspects.filterValues { it.isOpen(threshold, untilMs) }
+        val (part, suspect) = open.maxByOrNull { it.value.weight(untilMs) } ?: return null
+        val most = suspect.weight(untilMs)
+        val tied = suspects.filterValues { it.settled < it.counted.size && it.weight(untilMs) >= most }.keys
+        val last = suspect.until(untilMs).last().crash
         val prompts = recent.firstOrNull { it.crash.isSame(last) }?.prompts.orEmpty()
         val parts =
             prompts
-                .map { prompt -> prompt.filter { crashes(it).size >= threshold } }
+                .map { prompt -> prompt.filter { it in tied } }
                 .maxByOrNull { it.size }
                 .orEmpty()
                 .take(MAX_BLAMED)
                 .toSet()
-                .ifEmpty { setOf(most) }
-        return Blame(parts, parts.map { crashes(it) }.minBy { it.size }.toList())
+                .ifEmpty { setOf(part) }
+        if (!parts.containsAll(tied) && !suspect.isOpen(threshold, ambiguousUntilMs)) return null
+        return Blame(parts, crashes(parts.first()))
     }
 
     /** Lets the ends in [crashes] count for no other parts than [by], on which they are blamed. */
@@ -106,7 +109,12 @@
 
     /** Forgets parts that have been on no end for [KEEP_MS]. */
     fun forget(nowMs: Long) {
-        suspects.values.removeIf { nowMs - it.counted.last().endedMs > KEEP_MS }
+        suspects.values.removeIf {
+            nowMs -
+                it.counted
+                    .last()
+                    .crash.endedMs > KEEP_MS
+        }
     }
 
     /** The number of suspected parts that no quarantine includes. */
@@ -117,24 +125,25 @@
         crash: Crash,
         evidence: RunEvidence,
     ) {
-        val suspect = suspects[part]
-        if (suspect == null) {
-            suspects[part] = Suspect(mutableListOf(crash))
-            return
-        }
-        if (suspect.counted.any(crash::isSame) || !isLater(evidence, suspect.counted.last())) return
-        if (suspect.counted.size == MAX_COUNTED) {
-            suspect.counted.removeFirst()
-            suspect.settled = maxOf(0, suspect.settled - 1)
+        val weight = if (evidence.outcome == RunOutcome.LOST_BEGUN) BEGUN_WEIGHT else WAITING_WEIGHT
+        val suspect = suspects.getOrPut(part) { Suspect() }
+        val known = suspect.counted.firstOrNull { it.crash.isSame(crash) }
+        if (known == null) {
+            suspect.add(CountedCrash(crash, weight, isLater(evidence, suspect.lastCounted())))
+        } else {
+            known.weight = maxOf(known.weight, weight)
         }
-        suspect.counted += crash
     }
 
     /** Returns whether the request was sent after [last], and so was not on an upstream that ended together with it. */
     private fun isLater(
         evidence: RunEvidence,
-        last: Crash,
-    ) = evidence.sentMs >= last.endedMs - CLOCK_TOLERANCE_MS && evidence.endedMs > last.endedMs + CLOCK_TOLERANCE_MS
+        last: Crash?,
+    ): Boolean {
+        if (last == null) return true
+        return evidence.sentMs >= last.endedMs - CLOCK_TOLERANCE_MS &&
+            evidence.endedMs > last.endedMs + CLOCK_TOLERANCE_MS
+    }
 
     private fun evict() {
         val excess = suspects.size - capacity
@@ -144,7 +153,7 @@
                 compareBy({ it.value.counted.size }, {
                     it.value.counted
                         .last()
-                        .endedMs
+                        .crash.endedMs
                 }),
             ).take(excess)
             .forEach { suspects -= it.key }
@@ -154,7 +163,7 @@
         parts: Set<PromptPart>,
         isRemoved: (Crash) -> Boolean,
     ) {
-        parts.forEach { suspects[it]?.counted?.removeAll(isRemoved) }
+        parts.forEach { part -> suspects[part]?.counted?.removeAll { isRemoved(it.crash) } }
         suspects.values.removeIf { it.counted.isEmpty() }
     }
 
@@ -168,16 +177,44 @@
         while (recent.size > 1 && recent.sumOf { it.partCount + 1 } > MAX_RECENT_PARTS) recent.removeFirst()
     }
 
-    /** [counted] is never empty and in the order of time. */
-    private class Suspect(
-        val counted: MutableList<Crash>,
-    ) {
+    /** The ends of upstreams that the part was on, in the order of time; there is at least one. */
+    private class Suspect {
+        val counted = ArrayList<CountedCrash>()
+
         /** The number of counted ends that have led to a quarantine. */
         var settled = 0
 
-        fun until(timeMs: Long) = counted.filter { it.endedMs <= timeMs }
+        fun add(crash: CountedCrash) {
+            if (counted.size == MAX_COUNTED) {
+                counted.removeFirst()
+                settled = maxOf(0, settled - 1)
+            }
+            counted += crash
+        }
+
+        /** The last end for which there were points. */
+        fun lastCounted(): Crash? = counted.lastOrNull { it.givesPoints }?.crash
+
+        fun until(timeMs: Long) = counted.filter { it.crash.endedMs <= timeMs }
+
+        fun weight(untilMs: Long) = until(untilMs).sumOf { it.weight }
+
+        fun points(untilMs: Long) = until(untilMs).filter { it.givesPoints }.sumOf { it.weight }
+
+        fun isOpen(
+            threshold: Int,
+            untilMs: Long,
+        ) = points(untilMs) >= threshold && until(untilMs).size > settled
     }
 
+    private class CountedCrash(
+        val crash: Crash,
+        /** More if the upstream had begun to answer a request with the part. */
+        var weight: Int,
+        /** False if the upstream ended together with another one. */
+        val givesPoints: Boolean,
+    )
+
     private class LostPrompts(
         val crash: Crash,
     ) {
@@ -188,7 +225,9 @@
     companion object {
         /** Some 200 KB with identifiers of 16 characters. */
         const val CAPACITY = 2_048
-        private const val MAX_COUNTED = 16
+        const val BEGUN_WEIGHT = 2
+        const val WAITING_WEIGHT = 1
+        private const val MAX_COUNTED = 32
         private const val MAX_EXPLAINED = 256
         private const val MAX_CRASH_PARTS = 1_024
         private const val MAX_RECENT_PARTS = 4_096
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/QuarantineRegistry.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/QuarantineRegistry.kt
@@ -93,6 +93,12 @@
         quarantine.merge(notices.map { it.toQuarantine(nowMs) }, nowMs)
     }
 
+    /** Takes over what the replicated log holds. */
+    fun restore(recorded: List<Quarantine>) = quarantine.merge(recorded, timer.nowMs())
+
+    /** All quarantines, lifted ones too. */
+    fun quarantines(): List<Quarantine> = quarantine.changedAfter(0)
+
     /** Returns what has changed since [version], for other instances. */
     fun changedAfter(version: Long): List<QuarantineNotice> = quarantine.changedAfter(version).map(::notice)
 
@@ -109,21 +115,20 @@
         val suspicion = quarantine.record(evidence, timer.nowMs())
         if (suspicion.suspected.isNotEmpty()) logSuspicion("prompt_parts_suspected", suspicion.suspected, evidence)
         if (suspicion.cleared.isNotEmpty()) logSuspicion("prompt_parts_cleared", suspicion.cleared, evidence)
-        if (evidence.outcome != RunOutcome.LOST) return
+        if (evidence.outcome == RunOutcome.SOUND) return
         lastLossMs = maxOf(lastLossMs, evidence.endedMs)
         scheduleDecision()
     }
 
-    /** Decides once the evidence of the last loss is old enough. */
-    private fun scheduleDecision(afterMs: Long = PromptQuarantine.DECISION_DELAY_MS) {
+    /** Decides while the evidence of the last loss may still lead to a decision. */
+    private fun scheduleDecision() {
         if (isDecisionScheduled) return
         isDecisionScheduled = true
-        timer.after(afterMs) {
+        timer.after(DECISION_EVERY_MS) {
             isDecisionScheduled = false
             val nowMs = timer.nowMs()
             quarantine.decide(nowMs)
-            val leftMs = lastLossMs + PromptQuarantine.DECISION_DELAY_MS - nowMs
-            if (leftMs > 0) scheduleDecision(leftMs)
+            if (nowMs - lastLossMs <= PromptQuarantine.AMBIGUOUS_DELAY_MS) scheduleDecision()
         }
     }
 
@@ -182,6 +187,7 @@
     private companion object {
         const val MS_PER_SECOND = 1_000.0
         const val MAX_LOGGED_PARTS = 16
+        const val DECISION_EVERY_MS = 50L
         val log = KeyValueLog("quarantine")
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -331,13 +331,15 @@
     ) {
         if (ended.isBeyondBeginning) return
         when (result) {
-            is AttemptResult.Lost -> if (result.isBrokenOff) observeRun(target, ended, RunOutcome.LOST)
+            is AttemptResult.Lost -> if (result.isBrokenOff) observeRun(target, ended, lossOf(ended))
             is AttemptResult.Answered -> if (result.head.status == OK) observeRun(target, ended, RunOutcome.SOUND)
             is AttemptResult.StreamEnded -> observeRun(target, ended, RunOutcome.SOUND)
             is AttemptResult.NotRun -> Unit
         }
     }
 
+    private fun lossOf(ended: Attempt) = if (ended.status == null) RunOutcome.LOST_WAITING else RunOutcome.LOST_BEGUN
+
     private fun observeRun(
         target: UpstreamId,
         run: Attempt,
