Keep quarantines of prompts in the replicated log

Cause: quarantines were held in memory by all instances. A loss of power of all of them at once would have lost every quarantine, and the part would have crashed three more engines.

Change: the leader records each decision, probe and end of a quarantine in the log (record_quarantine); the newest round and probe wins, at most 256 are kept. Members take over what the log holds when they start.

No test plays a loss of power over real disks.

--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -46,6 +46,8 @@
     private val limits = LimitRegistry(settings.instance, timer, upstreamLimits, metrics)
     private val promptQuarantine = PromptQuarantine(settings.instance)
     private val quarantine = QuarantineRegistry(settings.instance, timer, promptQuarantine, metrics)
+    private val quarantineStore = QuarantineStore(timer, quarantine, store::recordQuarantine)
+    private var isSynchronizing = false
     private val placer = Placer(limits = upstreamLimits, quarantine = promptQuarantine)
     private val view = ClusterView(reader, timer, placer)
     val registry: UpstreamRegistry = UpstreamRegistry(timer, settings.announceEveryMs, ::upstreamsChanged)
@@ -84,7 +86,10 @@
         registry.start()
         placements.start()
         watcher.start()
-        quarantine.onChange = { watchServer.onUpstreamsChanged() }
+        quarantine.onChange = {
+            watchServer.onUpstreamsChanged()
+            synchronizeQuarantines()
+        }
         timer.every(FORGET_EVERY_MS) {
             limits.forget(registry.table::isPresent)
             quarantine.forget()
@@ -113,9 +118,20 @@
             adopted?.let(view::applyConfig)
         }
         view.applyDrains(watchServer.drainedDomains())
+        synchronizeQuarantines()
         watchServer.onStateChanged()
     }
 
+    /** Runs after the change that caused it, since it may change quarantines itself. */
+    private fun synchronizeQuarantines() {
+        if (isSynchronizing) return
+        isSynchronizing = true
+        timer.after(0) {
+            isSynchronizing = false
+            quarantineStore.synchronize(store.state, store.isLeader)
+        }
+    }
+
     private fun upstreamsChanged() {
         view.applyRecords(registry.table.all())
         watchServer.onUpstreamsChanged()
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -146,6 +146,12 @@
         submit(Command.SetDrain(operationId, DrainTarget.Domain(domain), isDrained), onResult)
     }
 
+    /** Records a quarantine of prompts; only the leader does so. */
+    fun recordQuarantine(
+        command: Command,
+        onResult: (isCommitted: Boolean) -> Unit,
+    ) = propose(command) { onResult(it.status == CommandStatus.COMMITTED) }
+
     /** Reads the newest configuration, confirmed by a majority. The reply is unconfirmed when that fails in time. */
     fun read(onResult: (ReadReply) -> Unit) {
         if (isLeader) return readLocally(onResult)
--- a/state/src/main/kotlin/samphirechute/state/command/Command.kt
+++ b/state/src/main/kotlin/samphirechute/state/command/Command.kt
@@ -6,6 +6,7 @@
 import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
 import samphirechute.core.OperationId
+import samphirechute.core.PromptPart
 import samphirechute.core.RequestId
 import samphirechute.core.ServiceName
 import samphirechute.core.TeamName
@@ -128,6 +129,17 @@
         val detail: String,
     ) : Command()
 
+    /** Records that prompts with all of [parts] are in quarantine, or no longer are. The highest round and probe wins. */
+    @Serializable
+    @SerialName("record_quarantine")
+    data class RecordQuarantine(
+        val parts: Set<PromptPart>,
+        val isActive: Boolean,
+        val round: Int,
+        val probes: Int,
+        val decidedBy: InstanceId,
+    ) : Command()
+
     /** Adds a member, or replaces the disk identity of a member that lost its disk. */
     @Serializable
     @SerialName("add_member")
--- a/state/src/main/kotlin/samphirechute/state/store/SnapshotPart.kt
+++ b/state/src/main/kotlin/samphirechute/state/store/SnapshotPart.kt
@@ -73,6 +73,12 @@
     data class Orders(
         val records: List<OrderRecord>,
     ) : SnapshotPart()
+
+    @Serializable
+    @SerialName("quarantines")
+    data class Quarantines(
+        val records: List<QuarantineRecord>,
+    ) : SnapshotPart()
 }
 
 /** Splits this state into parts, the head first. */
@@ -86,6 +92,7 @@
         for (part in keptAnswers.chunked(PART_RECORDS)) yield(SnapshotPart.KeptAnswers(part))
         for (part in documents.values.chunked(PART_RECORDS)) yield(SnapshotPart.Documents(part))
         for (part in orders.values.chunked(PART_RECORDS)) yield(SnapshotPart.Orders(part))
+        for (part in quarantines.values.chunked(PART_RECORDS)) yield(SnapshotPart.Quarantines(part))
     }
 
 /** Returns this state with one more part of a snapshot. Start from an empty state. */
@@ -134,6 +141,10 @@
         is SnapshotPart.Orders -> {
             copy(orders = orders.putAll(part.records.associateBy { it.operationId }))
         }
+
+        is SnapshotPart.Quarantines -> {
+            copy(quarantines = quarantines.putAll(part.records.associateBy { it.parts }))
+        }
     }
 
 private const val PART_RECORDS = 500
--- a/state/src/main/kotlin/samphirechute/state/store/StoreLimits.kt
+++ b/state/src/main/kotlin/samphirechute/state/store/StoreLimits.kt
@@ -18,6 +18,7 @@
     val maxOrders: Int = 10_000,
     val maxIncarnations: Int = 4_096,
     val maxMembers: Int = 9,
+    val maxQuarantines: Int = 256,
     /** Limits the work per command: at most this many claims expire with one, the rest with the following commands. */
     val maxExpiredPerCommand: Int = 64,
 ) {
--- a/state/src/main/kotlin/samphirechute/state/store/StoreState.kt
+++ b/state/src/main/kotlin/samphirechute/state/store/StoreState.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.persistentSetOf
 import samphirechute.core.InstanceId
 import samphirechute.core.OperationId
+import samphirechute.core.PromptPart
 import samphirechute.core.service.ServiceSpec
 import samphirechute.state.command.ClaimKey
 import samphirechute.state.command.Command
@@ -17,7 +18,8 @@
 import samphirechute.state.command.TimedCommand
 
 /**
- * The replicated state after the log entry [index]: configuration, claims, drains, documents, orders and members. Every
+ * The replicated state after the log entry [index]: configuration, claims, drains, documents, orders, members and
+ * quarantines. Every
  * member computes it by applying the committed entries in order.
  *
  * It is immutable, so a reader, a snapshot writer and a transfer to another member can each keep one while further
@@ -45,6 +47,8 @@
     val orders: PersistentMap<OperationId, OrderRecord> = persistentMapOf(),
     val fencingNumber: Long = 0,
     val members: PersistentList<StoreMember> = persistentListOf(),
+    /** The newest quarantine of each set of parts of prompts, also those that were lifted. */
+    val quarantines: PersistentMap<Set<PromptPart>, QuarantineRecord> = persistentMapOf(),
     val limits: StoreLimits = StoreLimits(),
 ) {
     /**
@@ -76,6 +80,7 @@
             is Command.FinishDocument -> finishDocument(command)
             is Command.IssueOrder -> runOnce(command.operationId) { issueOrder(command) }
             is Command.FinishOrder -> finishOrder(command)
+            is Command.RecordQuarantine -> recordQuarantine(command)
             is Command.AddMember -> runOnce(command.operationId) { applied(CommandResult.Done) { add(command) } }
             is Command.RemoveMember -> runOnce(command.operationId) { applied(CommandResult.Done) { remove(command) } }
         }
--- a/state/src/test/kotlin/samphirechute/state/store/StoreStateSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/store/StoreStateSpec.kt
@@ -6,6 +6,7 @@
 import samphirechute.core.InstanceId
 import samphirechute.core.OperationId
 import samphirechute.core.PoolName
+import samphirechute.core.PromptPart
 import samphirechute.core.RequestId
 import samphirechute.core.ServiceName
 import samphirechute.core.TeamName
@@ -145,6 +146,39 @@
         }
     }
 
+    @Nested
+    inner class Quarantines {
+        private fun record(
+            name: String,
+            isActive: Boolean,
+            round: Int,
+            probes: Int = 0,
+        ) = Command.RecordQuarantine(setOf(PromptPart(name)), isActive, round, probes, InstanceId("a"))
+
+        private fun recorded(name: String) = state.quarantines[setOf(PromptPart(name))]
+
+        /** Guards against an older decision that is committed later and brings back what was lifted. */
+        @Test
+        fun `the highest round and probe wins, in whichever order they are committed`() {
+            apply(1, record("x", true, 1))
+            apply(2, record("x", true, 1, probes = 1))
+            apply(3, record("x", false, 2))
+            apply(4, record("x", true, 1, probes = 2))
+            assertEquals(QuarantineRecord(setOf(PromptPart("x")), false, 2, 0, InstanceId("a"), 3), recorded("x"))
+        }
+
+        @Test
+        fun `their number is bounded, and lifted ones go first`() {
+            state = StoreState(limits = StoreLimits(maxQuarantines = 2))
+            apply(1, record("x", true, 1))
+            apply(1, record("y", false, 2))
+            apply(1, record("z", true, 1))
+            assertEquals(listOf("x", "z"), state.quarantines.keys.map { it.single().value })
+            apply(1, record("w", true, 1))
+            assertEquals(listOf("z", "w"), state.quarantines.keys.map { it.single().value })
+        }
+    }
+
     @Nested
     inner class Snapshots {
         /** Guards against a member whose state differs from that of the others after a snapshot. */
