--- a/routing/src/test/kotlin/samphirechute/routing/quarantine/PromptQuarantineOpenSeedsSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/quarantine/PromptQuarantineOpenSeedsSpec.kt
@@ -4,7 +4,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** Seeds of the schedules of [PromptQuarantineScheduleSpec] that failed and are not mended. */
+/** Seeds of [PromptQuarantineScheduleSpec], and a day without control instances, that fail and are not mended. */
 internal class PromptQuarantineOpenSeedsSpec : PromptScheduleFixture() {
     private fun day(
         share: Double,
