--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,11 +2,11 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
-if [[ ! -f target/samphirechute.jar || ! -f target/review/LateTakeBack.class ]]; then
+if [[ ! -f target/samphirechute.jar || ! -f target/review/LostAfterReplacement.class ]]; then
     echo "build the deploy file and run review/build.sh first" >&2
     exit 2
 fi
-java -Xmx128m -cp target/review LateTakeBack review/3
+java -Xmx128m -cp target/review LostAfterReplacement review/3
 case $? in
 0) exit 0 ;;
 10) exit 1 ;;
