Give up the addition of a store member whose disk is gone

Cause: an addition stayed pending for 60 s whether or not its disk still existed, and further additions were refused meanwhile, also that of the same machine with its next disk. Requests to join were kept as long as a leader led, and the first one always came first, so a machine that was gone held up the others. A member with few entries to receive became a voter without ever having answered.

Fix: an addition ends when its instance asks with another disk, or when the member has not answered for 1.5 s. A request to join counts for a second and is repeated each 0.2 s; one that has been tried goes to the end. A member becomes a voter only while it answers. A silent voter can be removed while a member catches up, since that one has no vote. The log says why an addition ended (member_not_added) and who votes after each change (members_changed).

In the same change: a voter that hears of no leader asks to join after 1 s instead of 2 s, as it does when it was removed while it was frozen.

--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -22,6 +22,7 @@
 import samphirechute.state.host.MembershipManager
 import samphirechute.state.host.RaftDriver
 import samphirechute.state.host.member
+import samphirechute.state.raft.AppliedEntry
 import samphirechute.state.raft.ProposalOutcome
 import samphirechute.state.raft.RaftMessage
 import samphirechute.state.raft.RaftNode
@@ -87,8 +88,15 @@
         get() = isLeader || (leader != null && timer.nowMs() - lastContactMs <= LEADER_CONTACT_MS)
 
     fun start() {
-        driver.onApplied = { onChanged() }
+        driver.onApplied = { entries ->
+            logMembers(entries)
+            onChanged()
+        }
         driver.onSnapshotInstalled = { onChanged() }
+        driver.onAdditionEnded = { ended ->
+            val fields = mapOf("instance" to ended.member.instance, "disk" to ended.member.diskId)
+            log.event("member_not_added", fields + mapOf("reason" to ended.code, "after_ms" to ended.afterMs))
+        }
         driver.onLeaderChanged = { onChanged() }
         driver.onLeadershipChanged = { term, isLeading ->
             log.event(if (isLeading) "leadership_gained" else "leadership_lost", mapOf("term" to term))
@@ -189,6 +197,13 @@
         }
     }
 
+    private fun logMembers(entries: List<AppliedEntry>) {
+        val changes = entries.filter { it.command is Command.AddMember || it.command is Command.RemoveMember }
+        val last = changes.lastOrNull() ?: return
+        val voters = state.members.joinToString(",") { "${it.instance}/${it.diskId}" }
+        log.event("members_changed", mapOf("index" to last.index, "term" to last.term, "voters" to voters))
+    }
+
     private fun proposeLocally(
         command: Command,
         onReply: (CommandReply) -> Unit,
--- a/state/src/main/kotlin/samphirechute/state/host/MembershipManager.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/MembershipManager.kt
@@ -27,7 +27,7 @@
     ) {
         if (!node.isLeader || nowMs - lastCheckMs < CHECK_INTERVAL_MS) return
         lastCheckMs = nowMs
-        val joining = node.joinRequests.firstOrNull()
+        val joining = node.joinRequests.firstOrNull { node.learner == null || node.learner?.instance == it.instance }
         val unresponsive = node.unresponsiveMembers(SILENCE_LIMIT_MS)
         when {
             joining != null -> add(joining, node)
--- a/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
@@ -49,6 +49,9 @@
     /** Called when this member asks the others for pre-votes or votes. */
     var onCampaign: (RaftOutput.Campaigning) -> Unit = {}
 
+    /** Called when the addition of a member ends without a result. */
+    var onAdditionEnded: (RaftOutput.AdditionEnded) -> Unit = {}
+
     /** Called when the known leader changes, also to none. */
     var onLeaderChanged: () -> Unit = {}
 
@@ -109,6 +112,7 @@
             is RaftOutput.LeadershipGained -> onLeadershipChanged(output.term, true)
             is RaftOutput.LeadershipLost -> onLeadershipChanged(output.term, false)
             is RaftOutput.Campaigning -> onCampaign(output)
+            is RaftOutput.AdditionEnded -> onAdditionEnded(output)
             is RaftOutput.Stopped -> onStopped(output.reason)
         }
     }
--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -18,15 +18,15 @@
     private val progress = LinkedHashMap<DiskIdentity, Progress>()
     private var lastHeartbeatMs = member.nowMs
 
-    /** Members that have asked to join. */
-    private val requests = LinkedHashMap<InstanceId, StoreMember>()
+    private val requests = JoinRequests(member.timings.joinRequestMs)
 
-    /** Members that have asked to join, and voters that answer with a new disk because theirs was wiped. */
+    /**
+     * Members that have lately asked to join, and voters that answer with a new disk because theirs was wiped. Those
+     * that have been tried are last.
+     */
     val joinRequests: List<StoreMember>
-        get() {
-            val wiped = member.voters.mapNotNull { old -> unknownDisks[old.instance]?.let { old.copy(diskId = it) } }
-            return (requests.values.filter { !member.isVoter(it.identity) } + wiped).distinctBy { it.instance }
-        }
+        get() =
+            requests.current(member.nowMs).filter { !member.isVoter(it.identity) && it.identity != learner?.identity }
 
     private val observedDisks = mutableMapOf<InstanceId, String>()
 
@@ -73,18 +73,24 @@
     }
 
     fun startLearner(added: StoreMember) {
-        learner = Progress(added.identity, member.writtenIndex + 1).also { sendAppend(it, emptyList()) }
+        requests.moveToEnd(added.instance)
+        learner = Progress(added.identity, member.writtenIndex + 1, member.nowMs).also { sendAppend(it, emptyList()) }
     }
 
     fun stopLearner() {
         learner = null
     }
 
+    /** Returns whether the learner has nearly all entries and still answers, so that it can become a voter. */
     fun isCaughtUp(): Boolean {
         val current = learner ?: return false
-        return current.matchIndex + member.timings.catchUpEntries >= member.log.lastIndex && current.transfer == null
+        val isPresent = current.hasAnswered && current.silentMs(member.nowMs) <= member.timings.learnerContactMs
+        val hasEntries = current.matchIndex + member.timings.catchUpEntries >= member.log.lastIndex
+        return isPresent && hasEntries && current.transfer == null
     }
 
+    fun isLearnerSilent() = learner.let { it != null && it.silentMs(member.nowMs) > member.timings.learnerSilenceMs }
+
     fun onAppendReply(reply: RaftMessage.AppendReply) {
         val current = find(reply.from) ?: return
         current.recordContact(reply.echoMs, reply.wallMs, member.nowMs)
@@ -142,7 +148,14 @@
 
     fun recordJoinRequest(joining: StoreMember) {
         recordDisk(joining.identity)
-        if (member.isVoter(joining.identity)) requests -= joining.instance else requests[joining.instance] = joining
+        if (member.isVoter(
+                joining.identity,
+            )
+        ) {
+            requests.remove(joining.instance)
+        } else {
+            requests.record(joining, member.nowMs)
+        }
     }
 
     /** Voters that have not answered for [durationMs]. */
@@ -153,8 +166,10 @@
         }
 
     fun recordDisk(identity: DiskIdentity) {
-        val isKnown = identity.instance in member.peers || member.voters.any { it.instance == identity.instance }
-        if (isKnown && !member.isVoter(identity)) observedDisks[identity.instance] = identity.diskId
+        val voter = member.voters.find { it.instance == identity.instance }
+        if (member.isVoter(identity) || (voter == null && identity.instance !in member.peers)) return
+        observedDisks[identity.instance] = identity.diskId
+        if (voter != null) requests.record(voter.copy(diskId = identity.diskId), member.nowMs)
     }
 
     fun hasQuorumContact() =
@@ -210,7 +225,7 @@
         otherVoters.filter { it !in progress }.forEach { identity ->
             val known = learner?.takeIf { it.identity == identity }
             if (known != null) learner = null
-            progress[identity] = known ?: Progress(identity, member.writtenIndex + 1)
+            progress[identity] = known ?: Progress(identity, member.writtenIndex + 1, member.nowMs)
         }
     }
 
--- a/state/src/main/kotlin/samphirechute/state/raft/MemberChanges.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/MemberChanges.kt
@@ -2,6 +2,7 @@
 
 import samphirechute.core.OperationId
 import samphirechute.state.command.Command
+import samphirechute.state.command.StoreMember
 
 /**
  * Membership changes on the leader, one at a time. [RaftNode] passes it the commands and calls [advance] after each
@@ -9,6 +10,10 @@
  *
  * A new member first receives the whole log as a learner. If it replaces a wiped disk of the same instance, the old
  * disk is removed by a separate entry before the new one is added, so that any two successive majorities overlap.
+ *
+ * An addition ends without a result as soon as its disk is known or believed to be gone: the instance asks to join with
+ * another disk, or the member no longer answers. It would otherwise keep the machine that is back out of the store, and
+ * a disk that exists no more would become a voter.
  */
 internal class MemberChanges(
     private val member: Member,
@@ -21,8 +26,15 @@
         token: Long,
         command: Command.AddMember,
     ) {
-        if (answerIfRepeated(token, command.operationId) || refuseIfBusy(token)) return
+        if (answerIfRepeated(token, command.operationId)) return
         val added = command.member
+        pending
+            ?.takeIf {
+                it.isOtherDiskOf(
+                    added,
+                )
+            }?.let { abandon(it, "replaced", "the instance has another disk now") }
+        if (refuseIfBusy(token)) return
         val isKnown = member.isVoter(added.identity)
         val isReplacement = member.voters.any { it.instance == added.instance }
         when {
@@ -50,8 +62,13 @@
         token: Long,
         command: Command.RemoveMember,
     ) {
-        if (answerIfRepeated(token, command.operationId) || refuseIfBusy(token)) return
+        if (answerIfRepeated(token, command.operationId)) return
         when {
+            // A learner has no vote, so a voter can be removed while one catches up.
+            isChangeUncommitted() || pending?.isOldDiskRemoved == true -> {
+                refuseAsBusy(token)
+            }
+
             member.voters.none { it.instance == command.instance } -> {
                 proposals.refuse(token, "not_a_member", "'${command.instance}' is not a store member")
             }
@@ -68,29 +85,40 @@
 
     /**
      * Takes the next step of adding a member: waits until it has caught up, then removes the old disk of the instance
-     * if there is one, then appends the addition. Each step starts only when the previous entry is committed.
+     * if there is one, then appends the addition. Each step starts only when the previous entry is committed and while
+     * the member answers.
      */
     fun advance() {
         val current = pending ?: return
         if (isChangeUncommitted()) return
         when {
-            current.isOldDiskRemoved -> {
-                finish(current)
+            leadership.isLearnerSilent() -> {
+                abandon(current, "silent", "the new member does not answer")
             }
 
             leadership.isCaughtUp() -> {
-                removeOldDisk(current)
+                if (current.isOldDiskRemoved) finish(current) else removeOldDisk(current)
             }
 
             member.nowMs - current.startedMs > member.timings.catchUpTimeoutMs -> {
-                pending = null
-                leadership.stopLearner()
                 val seconds = member.timings.catchUpTimeoutMs / MS_PER_S
-                proposals.refuse(current.token, "catch_up_failed", "the new member did not catch up within $seconds s")
+                abandon(current, "catch_up_failed", "the new member did not catch up within $seconds s")
             }
         }
     }
 
+    private fun abandon(
+        current: PendingAdd,
+        code: String,
+        message: String,
+    ) {
+        pending = null
+        leadership.stopLearner()
+        member.emit(RaftOutput.AdditionEnded(current.command.member, code, member.nowMs - current.startedMs))
+        val refusal = ProposalOutcome.Refused(code, message)
+        proposals.answer(current.token, if (current.isOldDiskRemoved) ProposalOutcome.Unknown else refusal)
+    }
+
     private fun removeOldDisk(current: PendingAdd) {
         current.isOldDiskRemoved = true
         val added = current.command.member
@@ -122,10 +150,13 @@
 
     private fun refuseIfBusy(token: Long): Boolean {
         val isBusy = pending != null || isChangeUncommitted()
-        if (isBusy) proposals.refuse(token, "change_in_progress", "another change of membership is under way")
+        if (isBusy) refuseAsBusy(token)
         return isBusy
     }
 
+    private fun refuseAsBusy(token: Long) =
+        proposals.refuse(token, "change_in_progress", "another change of membership is under way")
+
     private fun isChangeUncommitted() = member.log.membersIndex > member.commitIndex
 
     private class PendingAdd(
@@ -133,7 +164,10 @@
         val command: Command.AddMember,
         val startedMs: Long,
         var isOldDiskRemoved: Boolean = false,
-    )
+    ) {
+        fun isOtherDiskOf(other: StoreMember) =
+            command.member.instance == other.instance && command.member.diskId != other.diskId
+    }
 
     private companion object {
         const val MS_PER_S = 1_000
--- a/state/src/main/kotlin/samphirechute/state/raft/Progress.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Progress.kt
@@ -8,6 +8,7 @@
 internal class Progress(
     val identity: DiskIdentity,
     var nextIndex: Long,
+    private val startedMs: Long,
 ) {
     var matchIndex = 0L
 
@@ -16,6 +17,11 @@
     var wallOffsetMs: Long? = null
     var transfer: SnapshotTransfer? = null
 
+    val hasAnswered get() = ackedSentMs != null
+
+    /** The time since the latest request that this member has answered was sent. */
+    fun silentMs(nowMs: Long): Long = nowMs - maxOf(ackedSentMs ?: startedMs, startedMs)
+
     fun recordContact(
         echoMs: Long,
         wallMs: Long,
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -55,6 +55,9 @@
     /** On the leader: members to add with [Command.AddMember], which have asked to join or replaced a wiped disk. */
     val joinRequests: List<StoreMember> get() = leadership?.joinRequests.orEmpty()
 
+    /** On the leader: the member that is being added, which has no vote yet; otherwise null. */
+    val learner: DiskIdentity? get() = leadership?.learner?.identity
+
     /** On the leader: voters that have not answered for [durationMs]. */
     fun unresponsiveMembers(durationMs: Long): List<StoreMember> = leadership?.unresponsiveVoters(durationMs).orEmpty()
 
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
@@ -57,6 +57,13 @@
         val needed: Int,
     ) : RaftOutput()
 
+    /** The addition of [member] ended without a result after [afterMs], for the reason in [code]. */
+    data class AdditionEnded(
+        val member: StoreMember,
+        val code: String,
+        val afterMs: Long,
+    ) : RaftOutput()
+
     /** This member has stopped permanently and must be restarted. */
     data class Stopped(
         val reason: String,
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
@@ -30,7 +30,13 @@
     /** Longer for a voter without a leader, because it also sends the messages of elections. */
     val voterHelloIntervalMs: Long = 1_000,
     /** A voter without contact from a leader for this long sends hello messages, in case it has been removed. */
-    val removalCheckMs: Long = 2_000,
+    val removalCheckMs: Long = 1_000,
+    /** A request to join counts for this long, which is several intervals of its repetition. */
+    val joinRequestMs: Long = 1_000,
+    /** A member that is being added and has not answered for this long is given up, so that others can be added. */
+    val learnerSilenceMs: Long = 1_500,
+    /** A member becomes a voter only if it has answered within this time. */
+    val learnerContactMs: Long = 500,
     /** The addition of a member that takes longer than this to catch up is refused. */
     val catchUpTimeoutMs: Long = 60_000,
     /** A member being added has caught up when it lacks at most this many entries. */
--- a/state/src/test/kotlin/samphirechute/state/host/MembershipManagerSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/host/MembershipManagerSpec.kt
@@ -4,9 +4,13 @@
 import samphirechute.core.InstanceId
 import samphirechute.state.command.Command
 import samphirechute.state.raft.ProposalOutcome
+import samphirechute.state.raft.RaftMessage
+import samphirechute.state.raft.RaftOutput
+import samphirechute.state.raft.RaftTimings
 import samphirechute.state.sim.SimCluster
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 class MembershipManagerSpec {
@@ -14,8 +18,9 @@
     private class ManagedStore(
         names: List<String>,
         private val minMembers: Int = 3,
+        timings: RaftTimings = RaftTimings(),
     ) {
-        val cluster = SimCluster(seed = 11, names = names)
+        val cluster = SimCluster(seed = 11, names = names, timings = timings)
 
         init {
             runManager()
@@ -32,6 +37,17 @@
 
         fun followers() = cluster.nodes.values.filter { it != cluster.leader && it.raft != null }
 
+        /** Commits [count] configurations, one after another. */
+        fun commitConfigs(count: Int) {
+            for (revision in 1L..count) {
+                var isCommitted = false
+                cluster.propose(checkNotNull(cluster.leader), Command.AdoptConfig(revision, "content $revision")) {
+                    isCommitted = it is ProposalOutcome.Committed
+                }
+                assertTrue(cluster.runUntil(ELECTION_LIMIT_MS) { isCommitted }, cluster.describe())
+            }
+        }
+
         fun canCommit(): Boolean {
             var isCommitted = false
             val hasLeader = cluster.runUntil(ELECTION_LIMIT_MS) { cluster.leader?.raft?.isLeader == true }
@@ -168,6 +184,60 @@
         }
     }
 
+    /** Guards against a store that keeps waiting for a disk that was lost while it received the log. */
+    @Nested
+    inner class LossesWhileJoining {
+        private val slowCatchUp = RaftTimings(catchUpEntries = 2, maxBatchEntries = 4, maxInFlightEntries = 4)
+
+        /** Wipes a follower and takes the power away again as soon as it has received a part of the log. */
+        private fun ManagedStore.loseDiskWhileJoining(): SimCluster.SimNode {
+            commitConfigs(CONFIGS)
+            val lost = followers().first()
+            lost.wipe()
+            assertTrue(cluster.runUntil(CATCH_UP_MS) { (lost.raft?.lastIndex ?: 0) > 0 }, cluster.describe())
+            lost.loseDisk()
+            return lost
+        }
+
+        @Test
+        fun `a member that loses its disk again while it joins is a voter before the next disk may be lost`() {
+            val store = ManagedStore(listOf("a", "b", "c"), timings = slowCatchUp)
+            val lost = store.loseDiskWhileJoining()
+            store.cluster.run(DOWN_MS)
+            lost.start()
+            store.cluster.run(SMALL_CATCH_UP_MS)
+            assertTrue(lost.raft?.isVoter == true, store.cluster.describe())
+
+            store.followers().first { it != lost }.wipe()
+            assertTrue(store.canCommit(), store.cluster.describe())
+        }
+
+        @Test
+        fun `a member that is lost while it joins does not hold up another one`() {
+            val store = ManagedStore(listOf("a", "b", "c"), timings = slowCatchUp)
+            store.loseDiskWhileJoining()
+            val added = store.cluster.addNode(InstanceId("d"))
+            store.cluster.run(SMALL_CATCH_UP_MS)
+            assertTrue(added.raft?.isVoter == true, store.cluster.describe())
+        }
+
+        /** Guards against a fourth voter that has never answered, since the loss of one more would then stop the store. */
+        @Test
+        fun `a member that is lost as soon as it has asked to join does not become a voter`() {
+            val store = ManagedStore(listOf("a", "b", "c"))
+            val added = store.cluster.addNode(InstanceId("d"))
+            store.cluster.onOutput = { node, output ->
+                if (node == added && output is RaftOutput.Send &&
+                    output.message is RaftMessage.AppendReply
+                ) {
+                    added.kill()
+                }
+            }
+            val isVoter = store.cluster.runUntil(SMALL_CATCH_UP_MS) { added.instance.value in store.voters }
+            assertFalse(isVoter, store.cluster.describe())
+        }
+    }
+
     @Nested
     inner class UnresponsiveMembers {
         @Test
@@ -198,6 +268,11 @@
         const val CATCH_UP_MS = 6_000L
         const val ELECTION_LIMIT_MS = 5_000L
 
+        /** The same time of the deployments that tolerate the loss of one member. */
+        const val SMALL_CATCH_UP_MS = 4_000L
+        const val DOWN_MS = 1_000L
+        const val CONFIGS = 60
+
         /** Longer than the time after which an unresponsive member may be removed. */
         const val UNRESPONSIVE_MS = 4_000L
 
--- a/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
@@ -149,10 +149,15 @@
             start()
         }
 
-        fun wipe() {
+        /** Stops the member and replaces its disk with an empty one. */
+        fun loseDisk() {
             kill()
             disk = newDisk()
             diskId = "disk-${nextDisk++}"
+        }
+
+        fun wipe() {
+            loseDisk()
             start()
         }
 
@@ -187,6 +192,7 @@
                 is RaftOutput.SnapshotInstalled -> history.recordInstalled(instance, incarnation, output.state)
                 is RaftOutput.LeadershipLost -> Unit
                 is RaftOutput.Campaigning -> Unit
+                is RaftOutput.AdditionEnded -> Unit
                 is RaftOutput.ReadChecked -> Unit
             }
         }
