Let a store member that stops or is silent stop counting before the next loss

Each read of the configuration was answered with 503 and no new version was acknowledged, for good.

Cause: with four voters three must answer, so the store bears one lost disk only while all others answer. The stopped machine ended without giving up its vote, and was removed only after 2.5 s of silence; a request to join also went before that removal. After the lost disk two of four voters were left, which can't commit the removal any more.

Fix, decided in state/raft (MembershipPolicy): a voter that stops asks the leader to remove it and ends once that is committed, within 2 s at most, if the number of voters is even and above the minimum. A voter that is silent for 0.7 s is removed from such a number, and removals go before joins. The leader of the term before counts as silent since it was last heard of. With the smallest set nothing changes: a member that only restarts keeps its vote.

Not borne: a machine that is removed without a signal less than a second before a disk is lost. Two of four voters are then left, and no majority can tell that from a split.

--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -5,6 +5,7 @@
 import samphirechute.core.InstanceId
 import samphirechute.core.OperationId
 import samphirechute.core.log.KeyValueLog
+import samphirechute.core.time.Subscription
 import samphirechute.core.time.TimerService
 import samphirechute.net.peer.PeerApi
 import samphirechute.net.peer.PeerClient
@@ -169,6 +170,25 @@
         }
     }
 
+    /**
+     * Gives up the vote of this member if the store bears more losses without it, and then calls [onDone], at the latest
+     * after [LEAVE_TIMEOUT_MS].
+     */
+    fun leave(onDone: () -> Unit) {
+        if (!membership.shouldLeave(driver.node)) return onDone()
+        driver.node.leave()
+        val startedMs = timer.nowMs()
+        lateinit var waiting: Subscription
+        waiting =
+            timer.every(LEAVE_CHECK_MS) {
+                val afterMs = timer.nowMs() - startedMs
+                if (!driver.node.hasLeft && afterMs < LEAVE_TIMEOUT_MS) return@every
+                waiting.cancel()
+                log.event("member_left", mapOf("done" to driver.node.hasLeft, "after_ms" to afterMs))
+                onDone()
+            }
+    }
+
     override fun close() = driver.close()
 
     private fun submit(
@@ -259,6 +279,10 @@
     private companion object {
         const val LEADER_CONTACT_MS = 700L
         const val MEMBERSHIP_TICK_MS = 100L
+        const val LEAVE_CHECK_MS = 20L
+
+        /** Several elections; a member that has not left by then stops all the same. */
+        const val LEAVE_TIMEOUT_MS = 2_000L
 
         /** Upstreams and operators call another instance after a second without an answer. */
         const val SUBMIT_TIMEOUT_MS = 900L
--- a/state/src/main/kotlin/samphirechute/state/raft/Bootstrap.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Bootstrap.kt
@@ -27,7 +27,7 @@
 
     /** Sends hello messages while no leader contacts this member, so that the leader learns of its disk. */
     fun tick() {
-        if (member.leader == member.identity) return
+        if (member.leader == member.identity || member.isLeaving) return
         val sinceContactMs = member.nowMs - member.lastLeaderContactMs
         // A member that was removed while it was isolated still believes it is a voter, but no leader contacts it.
         val limitMs = if (member.isVoter) member.timings.removalCheckMs else member.timings.electionMinMs
--- a/state/src/main/kotlin/samphirechute/state/raft/Election.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Election.kt
@@ -46,7 +46,7 @@
      * pre-vote for the same term still count.
      */
     fun tick() {
-        if (isLeading() || !member.isVoter || member.nowMs < nextCampaignMs) return
+        if (isLeading() || !member.isVoter || member.isLeaving || member.nowMs < nextCampaignMs) return
         // With a write pending, this member could not make its own vote durable in time.
         if (!member.disk.isIdle) return
         member.leader = null
--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -28,6 +28,15 @@
         get() =
             requests.current(member.nowMs).filter { !member.isVoter(it.identity) && it.identity != learner?.identity }
 
+    private val leaveRequestsMs = HashMap<DiskIdentity, Long>()
+
+    /** Voters that have lately asked to leave. */
+    val leavingVoters: List<StoreMember>
+        get() =
+            member.voters.filter { voter ->
+                leaveRequestsMs[voter.identity].let { it != null && member.nowMs - it <= member.timings.leaveRequestMs }
+            }
+
     private val observedDisks = mutableMapOf<InstanceId, String>()
 
     /** Disk identities by instance that are not in the membership, as seen after a disk was wiped. */
@@ -158,12 +167,30 @@
         }
     }
 
-    /** Voters that have not answered for [durationMs]. */
-    fun unresponsiveVoters(durationMs: Long): List<StoreMember> =
-        member.voters.filter { voter ->
-            val lastContactMs = maxOf(find(voter.identity)?.ackedSentMs ?: startedMs, startedMs)
-            voter.identity != member.identity && member.nowMs - lastContactMs > durationMs
+    fun recordLeaveRequest(leaving: DiskIdentity) {
+        leaveRequestsMs.keys.retainAll { member.isVoter(it) }
+        leaveRequestsMs[leaving] = member.nowMs
+    }
+
+    /**
+     * Voters that have not answered for [durationMs]. The leader of the term before counts as silent since it was last
+     * heard of, if it does not answer in this term either.
+     */
+    fun unresponsiveVoters(durationMs: Long): List<StoreMember> {
+        if (member.nowMs - startedMs <= FIRST_ANSWER_HEARTBEATS * member.timings.heartbeatIntervalMs) return emptyList()
+        return member.voters.filter { voter ->
+            voter.identity != member.identity && member.nowMs - lastContactMs(voter.identity) > durationMs
+        }
+    }
+
+    private fun lastContactMs(voter: DiskIdentity): Long {
+        val answeredMs = find(voter)?.ackedSentMs
+        return when {
+            answeredMs != null -> maxOf(answeredMs, startedMs)
+            voter == member.lastLeader -> member.lastLeaderContactMs
+            else -> startedMs
         }
+    }
 
     fun recordDisk(identity: DiskIdentity) {
         val voter = member.voters.find { it.instance == identity.instance }
@@ -261,6 +288,11 @@
         member.send(to.identity.instance, request)
     }
 
+    private companion object {
+        /** A voter that runs answers within this many heartbeats of a new leader. */
+        const val FIRST_ANSWER_HEARTBEATS = 2
+    }
+
     private fun startTransfer(to: Progress) {
         val transfer = SnapshotTransfer(member.state)
         to.transfer = transfer
--- a/state/src/main/kotlin/samphirechute/state/raft/Member.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Member.kt
@@ -34,12 +34,18 @@
     var wallOffsetMs: Long? = null
     var leader: DiskIdentity? = null
 
+    /** The last leader that this member has heard from, also one that is no longer believed to lead. */
+    var lastLeader: DiskIdentity? = null
+
     /**
      * When this member last heard from a leader. With lease reads, a member that has just started counts as having
      * heard from one, because it may have granted a lease right before the restart.
      */
     var lastLeaderContactMs = if (timings.hasLeaseReads) startMs else startMs - timings.electionMinMs
     var failure: String? = null
+
+    /** True from the moment at which this member is asked to give up its vote. */
+    var isLeaving = false
     private var outputs = ArrayList<RaftOutput>()
 
     /** Entries up to this index are on disk or in an issued write. */
--- a/state/src/main/kotlin/samphirechute/state/raft/MemberChanges.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/MemberChanges.kt
@@ -22,6 +22,12 @@
 ) {
     private var pending: PendingAdd? = null
 
+    /** True while the latest change is not committed; the next one has to wait for it. */
+    val isChangeUncommitted get() = member.log.membersIndex > member.commitIndex
+
+    /** True between the removal of an instance's old disk and the addition of its new one. */
+    val isReplacing get() = pending?.isOldDiskRemoved == true
+
     fun add(
         token: Long,
         command: Command.AddMember,
@@ -65,7 +71,7 @@
         if (answerIfRepeated(token, command.operationId)) return
         when {
             // A learner has no vote, so a voter can be removed while one catches up.
-            isChangeUncommitted() || pending?.isOldDiskRemoved == true -> {
+            isChangeUncommitted || isReplacing -> {
                 refuseAsBusy(token)
             }
 
@@ -90,7 +96,7 @@
      */
     fun advance() {
         val current = pending ?: return
-        if (isChangeUncommitted()) return
+        if (isChangeUncommitted) return
         when {
             leadership.isLearnerSilent() -> {
                 abandon(current, "silent", "the new member does not answer")
@@ -149,7 +155,7 @@
     }
 
     private fun refuseIfBusy(token: Long): Boolean {
-        val isBusy = pending != null || isChangeUncommitted()
+        val isBusy = pending != null || isChangeUncommitted
         if (isBusy) refuseAsBusy(token)
         return isBusy
     }
@@ -157,8 +163,6 @@
     private fun refuseAsBusy(token: Long) =
         proposals.refuse(token, "change_in_progress", "another change of membership is under way")
 
-    private fun isChangeUncommitted() = member.log.membersIndex > member.commitIndex
-
     private class PendingAdd(
         val token: Long,
         val command: Command.AddMember,
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftMessage.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftMessage.kt
@@ -114,6 +114,23 @@
         val wallMs: Long,
     ) : RaftMessage()
 
+    /** Asks the leader to remove the sender from the voters, because it stops. Repeated until it is answered. */
+    @Serializable
+    @SerialName("leave_request")
+    data class LeaveRequest(
+        override val from: DiskIdentity,
+        override val term: Long,
+    ) : RaftMessage()
+
+    /** Answers a [LeaveRequest]. [hasLeft] once the removal of the member that asked is committed. */
+    @Serializable
+    @SerialName("leave_reply")
+    data class LeaveReply(
+        override val from: DiskIdentity,
+        override val term: Long,
+        val hasLeft: Boolean,
+    ) : RaftMessage()
+
     /**
      * Sent by a member that no leader contacts, to make its disk known. [inReplyTo] is null except in a reply to a
      * member with an empty log.
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -30,8 +30,10 @@
     private val follower = Follower(member)
     private val election = Election(member, ::becomeLeader, ::moveToTerm) { leadership != null }
     private val bootstrap = Bootstrap(member, canBootstrap)
+    private val departure = Departure(member)
     private var leadership: Leadership? = null
     private var memberChanges: MemberChanges? = null
+    private var policy: MembershipPolicy? = null
     private val proposals = Proposals(member)
     private val reads = PendingReads(member)
 
@@ -55,8 +57,14 @@
     /** On the leader: members to add with [Command.AddMember], which have asked to join or replaced a wiped disk. */
     val joinRequests: List<StoreMember> get() = leadership?.joinRequests.orEmpty()
 
-    /** On the leader: the member that is being added, which has no vote yet; otherwise null. */
-    val learner: DiskIdentity? get() = leadership?.learner?.identity
+    /** True once this member has given up its vote after [leave], or never had one. */
+    val hasLeft: Boolean get() = departure.hasLeft
+
+    /** Asks the leader to remove this member, which is about to stop, on each tick until [hasLeft]. */
+    fun leave() = departure.request()
+
+    /** On the leader: the change of the membership that comes next, if any; at least [minMembers] remain. */
+    fun dueChange(minMembers: Int): DueChange? = policy?.due(minMembers)
 
     /** On the leader: voters that have not answered for [durationMs]. */
     fun unresponsiveMembers(durationMs: Long): List<StoreMember> = leadership?.unresponsiveVoters(durationMs).orEmpty()
@@ -133,6 +141,8 @@
             is RaftMessage.SnapshotRequest -> if (acceptFromLeader(message)) follower.onSnapshot(message)
             is RaftMessage.AppendReply -> handleReply(message) { it.onAppendReply(message) }
             is RaftMessage.SnapshotReply -> handleReply(message) { it.onSnapshotReply(message) }
+            is RaftMessage.LeaveRequest -> handleLeaveRequest(message.from)
+            is RaftMessage.LeaveReply -> departure.onReply(message)
             is RaftMessage.Hello -> Unit
         }
         if (leadership == null) member.snapshotIfDue()
@@ -149,6 +159,13 @@
         }
     }
 
+    private fun handleLeaveRequest(from: DiskIdentity) {
+        val current = leadership ?: return
+        current.recordLeaveRequest(from)
+        val hasLeft = !member.isVoter(from) && member.commitIndex >= member.log.membersIndex
+        member.send(from.instance, RaftMessage.LeaveReply(member.identity, member.term, hasLeft))
+    }
+
     /**
      * Records contact from the leader of the current term and returns true. A request from an earlier term is rejected
      * with the current term, so that its sender steps down.
@@ -166,6 +183,7 @@
         if (message.term > member.term) moveToTerm(message.term)
         check(leadership == null) { "two leaders in term ${message.term}" }
         member.leader = message.from
+        member.lastLeader = message.from
         member.lastLeaderContactMs = member.nowMs
         election.onLeaderContact()
         return true
@@ -219,6 +237,7 @@
         member.wallOffsetMs = wallMs - member.nowMs
         bootstrap.tick()
         election.tick()
+        departure.tick(leadership)
         val current = leadership ?: return
         val isStalled = member.disk.isStalled(member.nowMs, member.timings.diskStallMs)
         if (isStalled || !current.hasQuorumContact()) return stepDown()
@@ -231,7 +250,9 @@
         member.leader = member.identity
         val current = Leadership(member)
         leadership = current
-        memberChanges = MemberChanges(member, current, proposals)
+        val changes = MemberChanges(member, current, proposals)
+        memberChanges = changes
+        policy = MembershipPolicy(member, current, changes)
         current.append(Command.Noop)
         current.flush()
         current.heartbeat()
@@ -249,6 +270,7 @@
         val current = leadership ?: return
         leadership = null
         memberChanges = null
+        policy = null
         member.leader = null
         member.dropUnwritten()
         proposals.failAll()
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
@@ -33,6 +33,13 @@
     val removalCheckMs: Long = 1_000,
     /** A request to join counts for this long, which is several intervals of its repetition. */
     val joinRequestMs: Long = 1_000,
+    /**
+     * A voter that has not answered for this long is removed from an even number of voters, which bears no more losses
+     * than the odd number below it. A member that is running is added again when it answers.
+     */
+    val voterSilenceMs: Long = 700,
+    /** A request to leave counts for this long. */
+    val leaveRequestMs: Long = 1_000,
     /** A member that is being added and has not answered for this long is given up, so that others can be added. */
     val learnerSilenceMs: Long = 1_500,
     /** A member becomes a voter only if it has answered within this time. */
--- a/state/src/test/kotlin/samphirechute/state/host/MembershipManagerSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/host/MembershipManagerSpec.kt
@@ -87,6 +87,71 @@
             assertTrue(store.canCommit(), store.cluster.describe())
         }
 
+        /** Starts a successor, removes [removed] once it has caught up, and loses the disk of [lost] a second later. */
+        private fun replaceAndLoseDisk(
+            removed: String,
+            lost: String,
+        ) {
+            val store = ManagedStore(listOf("a", "b", "c"))
+            store.commitConfigs(2)
+            store.cluster.addNode(InstanceId("d"))
+            store.cluster.run(SMALL_CATCH_UP_MS)
+            store.cluster.nodes
+                .getValue(InstanceId(removed))
+                .kill()
+            store.cluster.nodes -= InstanceId(removed)
+            store.cluster.run(DOWN_MS)
+            store.cluster.nodes
+                .getValue(InstanceId(lost))
+                .wipe()
+            assertTrue(store.canCommit(), "$removed removed, $lost lost its disk: ${store.cluster.describe()}")
+            assertEquals(
+                2,
+                store.cluster.leader
+                    ?.raft
+                    ?.state
+                    ?.adopted
+                    ?.revision,
+            )
+        }
+
+        /** Guards against a replaced member that still counts as a voter when the next disk is lost. */
+        @Test
+        fun `a member that was removed after its replacement joined does not count when a disk is lost a second later`() {
+            for (removed in listOf("a", "b", "c")) {
+                for (lost in listOf("a", "b", "c", "d") - removed) replaceAndLoseDisk(removed, lost)
+            }
+        }
+
+        /** Guards against a stopped member that counts as a voter until its silence is noticed. */
+        @Test
+        fun `a member that stops after its replacement joined gives up its vote, also the leader`() {
+            for (removed in listOf("a", "b", "c")) {
+                val store = ManagedStore(listOf("a", "b", "c"))
+                store.cluster.addNode(InstanceId("d"))
+                store.cluster.run(SMALL_CATCH_UP_MS)
+                val stopped = store.cluster.nodes.getValue(InstanceId(removed))
+                val raft = checkNotNull(stopped.raft)
+                raft.leave()
+                assertTrue(store.cluster.runUntil(DOWN_MS) { raft.hasLeft }, store.cluster.describe())
+                stopped.kill()
+                store.cluster.nodes -= stopped.instance
+                store.followers().first().wipe()
+                assertTrue(store.canCommit(), store.cluster.describe())
+                assertFalse(removed in store.voters, store.cluster.describe())
+            }
+        }
+
+        /** Guards against a member that gives up its vote when it is only restarted and no other can take its place. */
+        @Test
+        fun `a member of the smallest set keeps its vote when it stops`() {
+            val store = ManagedStore(listOf("a", "b", "c"))
+            val stopped = store.followers().first()
+            checkNotNull(stopped.raft).leave()
+            store.cluster.run(SMALL_CATCH_UP_MS)
+            assertEquals(setOf("a", "b", "c"), store.voters, store.cluster.describe())
+        }
+
         @Test
         fun `after two of six members are replaced, the store survives the loss of two more`() {
             val store = ManagedStore(listOf("a", "b", "c", "d", "e", "f"), minMembers = 5)
--- a/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
@@ -32,6 +32,7 @@
     val nodes = linkedMapOf<InstanceId, SimNode>()
     private val initialMembers = names.map(::InstanceId).toSet()
     private val callbacks = mutableMapOf<Long, (ProposalOutcome) -> Unit>()
+    private val readCallbacks = mutableMapOf<Long, (Boolean) -> Unit>()
     private var nextToken = 1L
     private var nextDisk = 1
 
@@ -44,7 +45,15 @@
 
     val leader: SimNode? get() = nodes.values.filter { it.raft?.isLeader == true }.maxByOrNull { it.raft?.term ?: 0 }
 
-    fun addNode(instance: InstanceId): SimNode = SimNode(instance).also { nodes[instance] = it }.apply { start() }
+    fun addNode(
+        instance: InstanceId,
+        seeds: Set<InstanceId> = initialMembers,
+    ): SimNode {
+        val added = SimNode(instance)
+        added.seeds = seeds
+        nodes[instance] = added
+        return added.apply { start() }
+    }
 
     fun propose(
         at: SimNode,
@@ -56,6 +65,16 @@
         at.handle(RaftInput.Propose(token, command))
     }
 
+    /** Asks [at] to confirm that its state is the newest; passes on whether it did, once it has answered. */
+    fun confirmRead(
+        at: SimNode,
+        then: (Boolean) -> Unit,
+    ) {
+        val token = nextToken++
+        readCallbacks[token] = then
+        at.handle(RaftInput.ConfirmRead(token))
+    }
+
     /** Runs until [isDone] or until [limitMs] have passed, and returns whether it is done. */
     fun runUntil(
         limitMs: Long,
@@ -115,6 +134,9 @@
         val instance: InstanceId,
     ) {
         var diskId = "disk-${nextDisk++}"
+
+        /** The members that this one is told of when it starts. */
+        var seeds = initialMembers
         var disk = newDisk()
         var raft: RaftNode? = null
         var stopped: String? = null
@@ -127,19 +149,27 @@
         val folder get() = (disk as? FileDisk)?.folder
         private var incarnation = 0
         private val writing = ArrayDeque<RaftOutput.Write>()
+
+        /** When the member was frozen; null while it runs. What arrives meanwhile is handled when it wakes up. */
+        private var frozenAtMs: Long? = null
+        private val unread = ArrayDeque<RaftInput>()
+        private var clockLagMs = 0L
+        private val nowMs get() = timer.nowMs() - clockLagMs
         val member get() =
             StoreMember(instance, FailureDomain("fd-$instance"), HostPort("127.0.0.1", 1), diskId)
 
         fun start() {
             val current = ++incarnation
             stopped = null
-            raft = RaftNode(member, initialMembers, disk.restore(), Random(random.nextLong()), timer.nowMs(), timings)
+            raft = RaftNode(member, seeds, disk.restore(), Random(random.nextLong()), nowMs, timings)
             tickWhile(current)
         }
 
         fun kill() {
             incarnation++
             raft = null
+            frozenAtMs = null
+            unread.clear()
             disk.crash(writing.map { it.write }, random)
             writing.clear()
         }
@@ -149,6 +179,20 @@
             start()
         }
 
+        val isFrozen get() = frozenAtMs != null
+
+        fun freeze() {
+            if (raft != null && frozenAtMs == null) frozenAtMs = timer.nowMs()
+        }
+
+        /** Wakes the member up. A machine that was suspended does not count the time on its monotonic clock. */
+        fun thaw(isSuspension: Boolean) {
+            val sinceMs = frozenAtMs ?: return
+            frozenAtMs = null
+            if (isSuspension) clockLagMs += timer.nowMs() - sinceMs
+            while (unread.isNotEmpty() && raft != null) handle(unread.removeFirst())
+        }
+
         /** Stops the member and replaces its disk with an empty one. */
         fun loseDisk() {
             kill()
@@ -172,8 +216,12 @@
         fun receive(message: RaftMessage) = handle(RaftInput.Received(message))
 
         fun handle(input: RaftInput) {
+            if (frozenAtMs != null) {
+                if (input !is RaftInput.Tick) unread += input
+                return
+            }
             val current = incarnation
-            val outputs = raft?.handle(input, timer.nowMs()) ?: return
+            val outputs = raft?.handle(input, nowMs) ?: return
             for (output in outputs) {
                 onOutput(this, output)
                 if (incarnation != current) return
@@ -193,7 +241,7 @@
                 is RaftOutput.LeadershipLost -> Unit
                 is RaftOutput.Campaigning -> Unit
                 is RaftOutput.AdditionEnded -> Unit
-                is RaftOutput.ReadChecked -> Unit
+                is RaftOutput.ReadChecked -> readCallbacks.remove(output.token)?.invoke(output.isConfirmed)
             }
         }
 
