Carry out no order that was read late

Cause: nothing in an order to drain a failure domain tells its age, and it was carried out whether or not its caller was still there. The same order is late in other ways: queued for another attempt before a freeze, or held up between an instance and the leader.

Fix: an order is submitted only after a majority has answered a question that was asked after it was read, with its caller still there (DrainOrders), and only for the version of the drains in that answer (SetDrain.baseVersion): a copy that reaches the leader later is rejected.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -13,13 +13,16 @@
 import samphirechute.routing.placing.PlacementResult
 import samphirechute.state.command.Command
 import samphirechute.state.command.CommandResult
+import samphirechute.state.command.DrainTarget
 import samphirechute.state.raft.RaftMessage
+import samphirechute.state.store.StoreState
 
 /** The paths that control instances serve for other instances, with the types of requests and replies. */
 object ClusterRoutes {
     val raft = PeerRoute("/peer/v1/raft", RaftMessage.serializer(), Unit.serializer())
     val commands = PeerRoute("/peer/v1/commands", Command.serializer(), CommandReply.serializer())
     val readConfig = PeerRoute("/peer/v1/configuration", Unit.serializer(), ReadReply.serializer())
+    val readDrains = PeerRoute("/peer/v1/drains", Unit.serializer(), DrainsReply.serializer())
     val watch = PeerRoute("/peer/v1/watch", WatchRequest.serializer(), WatchReply.serializer())
     val fetchConfig = PeerRoute("/peer/v1/watch/configuration", ConfigRequest.serializer(), ConfigReply.serializer())
     val leaving = PeerRoute("/peer/v1/leaving", LeavingNotice.serializer(), Unit.serializer())
@@ -48,6 +51,12 @@
     val config: PackedConfig? = null,
 )
 
+/** The drained failure domains, or null if no majority confirms that they are the newest. */
+@Serializable
+data class DrainsReply(
+    val drains: DrainedDomains? = null,
+)
+
 /** A long poll for everything that is newer than what the sender has. The answer may take up to a second. */
 @Serializable
 data class WatchRequest(
@@ -142,6 +151,9 @@
     val domains: Set<FailureDomain>,
 )
 
+internal fun StoreState.drainedDomains() =
+    DrainedDomains(drainVersion, drains.filterIsInstance<DrainTarget.Domain>().map { it.failureDomain }.toSet())
+
 /** Waits for the decision on a request that a [PlacementReply] said is waiting. */
 @Serializable
 data class AwaitRequest(
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -8,6 +8,7 @@
 import samphirechute.net.HttpClient
 import samphirechute.net.peer.PeerApi
 import samphirechute.net.peer.PeerClient
+import samphirechute.net.peer.PeerExchange
 import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.placing.Placer
 import samphirechute.routing.quarantine.RequestQuarantine
@@ -73,10 +74,7 @@
             store.serve(it)
             watchServer.serve(it)
             placements.serve(it)
-            it.on(ClusterRoutes.leaving) { notice, exchange ->
-                departures.applyNotice(notice)
-                exchange.answer(Unit)
-            }
+            it.on(ClusterRoutes.leaving, ::applyNotice)
         }
 
     fun start() {
@@ -110,6 +108,30 @@
         onResult: (isAcknowledged: Boolean) -> Unit,
     ) = departures.markGone(upstream, onResult)
 
+    /**
+     * A notice without a record would end whichever incarnation is known here. It may have been held up on its way, so it
+     * counts only while the other instance waits for the answer.
+     */
+    private fun applyNotice(
+        notice: LeavingNotice,
+        exchange: PeerExchange<Unit>,
+    ) {
+        if (notice.record != null) {
+            departures.applyNotice(notice)
+            return exchange.answer(Unit)
+        }
+        var isAbandoned = false
+        exchange.onAborted { isAbandoned = true }
+        timer.after(LATE_NOTICE_CHECK_MS) {
+            if (isAbandoned) {
+                log.event("notice_dropped", mapOf("upstream" to notice.upstream, "reason" to "caller_left"))
+            } else {
+                departures.applyNotice(notice)
+                exchange.answer(Unit)
+            }
+        }
+    }
+
     override fun close() = store.close()
 
     private fun stateChanged() {
@@ -177,6 +199,9 @@
     private companion object {
         const val CONNECT_TIMEOUT_MS = 400
         const val NOTICE_TIMEOUT_MS = 600L
+
+        /** Enough to notice that the connection of a call that was held up has been closed behind it. */
+        const val LATE_NOTICE_CHECK_MS = 20L
         const val FORGET_EVERY_MS = 10_000L
         val log = KeyValueLog("control")
     }
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -3,7 +3,6 @@
 import com.github.michaelbull.result.fold
 import samphirechute.core.FailureDomain
 import samphirechute.core.InstanceId
-import samphirechute.core.OperationId
 import samphirechute.core.log.KeyValueLog
 import samphirechute.core.time.Subscription
 import samphirechute.core.time.TimerService
@@ -12,12 +11,14 @@
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.CommandReply
 import samphirechute.serving.cluster.CommandStatus
+import samphirechute.serving.cluster.DrainedDomains
+import samphirechute.serving.cluster.DrainsReply
 import samphirechute.serving.cluster.PackedConfig
 import samphirechute.serving.cluster.ReadReply
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.address
+import samphirechute.serving.cluster.drainedDomains
 import samphirechute.state.command.Command
-import samphirechute.state.command.DrainTarget
 import samphirechute.state.disk.NioFolder
 import samphirechute.state.disk.StoreDisk
 import samphirechute.state.host.MembershipManager
@@ -60,6 +61,7 @@
             )
         }
     private val membership = MembershipManager(2 * settings.toleratedLosses + 1) { driver.propose(it) { } }
+    private val drainOrders = DrainOrders(timer, ::readDrains, ::submitOnce)
     private val configProposals = PendingConfigProposals(::propose)
     private val inFlight = InFlightLimiter()
     private var lastContactMs = timer.nowMs()
@@ -134,6 +136,7 @@
         }
         api.on(ClusterRoutes.commands) { command, exchange -> proposeLocally(command, exchange::answer) }
         api.on(ClusterRoutes.readConfig) { _, exchange -> readLocally { exchange.answer(it) } }
+        api.on(ClusterRoutes.readDrains) { _, exchange -> readDrainsLocally(exchange::answer) }
     }
 
     /** Commits a configuration; one that is no newer than the committed one counts as done. */
@@ -147,12 +150,17 @@
 
     /** Takes a failure domain out of service or brings it back. */
     fun setDrained(
-        domain: FailureDomain,
-        isDrained: Boolean,
+        order: DrainOrder,
         onResult: (isDone: Boolean) -> Unit,
-    ) {
-        val operationId = OperationId(UUID.randomUUID().toString())
-        submit(Command.SetDrain(operationId, DrainTarget.Domain(domain), isDrained), onResult)
+    ) = drainOrders.carryOut(order, onResult)
+
+    /** Reads the drained failure domains, confirmed by a majority; null when that fails in time. */
+    fun readDrains(onDrains: (DrainedDomains?) -> Unit) {
+        if (isLeader) return readDrainsLocally { onDrains(it.drains) }
+        val address = leader?.address ?: return onDrains(null)
+        client.call(address, ClusterRoutes.readDrains, Unit, ATTEMPT_TIMEOUT_MS) { result ->
+            result.fold({ onDrains(it.drains) }, { onDrains(null) })
+        }
     }
 
     /** Records a quarantine of prompts; only the leader does so. */
@@ -204,15 +212,22 @@
     ) {
         val remainingMs = deadlineMs - timer.nowMs()
         if (remainingMs <= 0) return onResult(false)
-        val onReply: (CommandReply) -> Unit = { reply ->
+        submitOnce(command, remainingMs) { reply ->
             when (reply.status) {
                 CommandStatus.COMMITTED -> onResult(true)
                 else -> timer.after(RETRY_MS) { submitUntil(command, deadlineMs, onResult) }
             }
         }
+    }
+
+    private fun submitOnce(
+        command: Command,
+        timeoutMs: Long,
+        onReply: (CommandReply) -> Unit,
+    ) {
         val address = leader?.takeIf { !isLeader }?.address
         if (address == null) return proposeLocally(command, onReply)
-        client.call(address, ClusterRoutes.commands, command, minOf(remainingMs, ATTEMPT_TIMEOUT_MS)) { result ->
+        client.call(address, ClusterRoutes.commands, command, minOf(timeoutMs, ATTEMPT_TIMEOUT_MS)) { result ->
             result.fold(onReply) { onReply(CommandReply(CommandStatus.UNKNOWN)) }
         }
     }
@@ -264,6 +279,9 @@
             onResult(ReadReply(state != null, state?.adopted?.let { PackedConfig(it.revision, it.content) }))
         }
 
+    private fun readDrainsLocally(onResult: (DrainsReply) -> Unit) =
+        driver.confirmedRead { state -> onResult(DrainsReply(state?.drainedDomains())) }
+
     private fun send(
         to: InstanceId,
         message: RaftMessage,
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
@@ -12,7 +12,7 @@
 import samphirechute.serving.cluster.QuarantineRegistry
 import samphirechute.serving.cluster.WatchReply
 import samphirechute.serving.cluster.WatchRequest
-import samphirechute.state.command.DrainTarget
+import samphirechute.serving.cluster.drainedDomains
 
 /**
  * Answers the watch requests of other instances. Each request is a long poll: it is answered as soon as this instance
@@ -208,14 +208,7 @@
     }
 
     /** The failure domains that operators have drained, from the durable state. */
-    fun drainedDomains() =
-        DrainedDomains(
-            store.state.drainVersion,
-            store.state.drains
-                .filterIsInstance<DrainTarget.Domain>()
-                .map { it.failureDomain }
-                .toSet(),
-        )
+    fun drainedDomains() = store.state.drainedDomains()
 
     private class DeferredAction(
         val revision: Long,
--- a/state/src/main/kotlin/samphirechute/state/command/Command.kt
+++ b/state/src/main/kotlin/samphirechute/state/command/Command.kt
@@ -80,6 +80,11 @@
         val operationId: OperationId,
         val target: DrainTarget,
         val isDrained: Boolean,
+        /**
+         * The version of the drains that the order was given for; it changes nothing after any later change. Null for an
+         * order that always counts.
+         */
+        val baseVersion: Long? = null,
     ) : Command()
 
     @Serializable
--- a/state/src/main/kotlin/samphirechute/state/store/ConfigRules.kt
+++ b/state/src/main/kotlin/samphirechute/state/store/ConfigRules.kt
@@ -49,8 +49,14 @@
     }
 }
 
-/** Adds or removes a drain. The version increases only if the set of drained targets changes. */
+/**
+ * Adds or removes a drain. The version increases only if the set of drained targets changes. An order for an older version
+ * is rejected: it was held up while others were carried out.
+ */
 internal fun StoreState.setDrain(command: Command.SetDrain): Applied {
+    if (command.baseVersion != null && command.baseVersion != drainVersion) {
+        return rejected("drains_changed", "the drains have version $drainVersion, not ${command.baseVersion}")
+    }
     val next = if (command.isDrained) drains.add(command.target) else drains.remove(command.target)
     if (next.size == drains.size) return applied(CommandResult.Drained(drainVersion))
     return applied(CommandResult.Drained(drainVersion + 1)) { copy(drains = next, drainVersion = drainVersion + 1) }
--- a/state/src/test/kotlin/samphirechute/state/store/StoreStateSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/store/StoreStateSpec.kt
@@ -89,6 +89,17 @@
             )
             assertEquals(setOf<DrainTarget>(target), state.drains)
         }
+
+        /** Guards against an order that was held up on its way and undoes a later one. */
+        @Test
+        fun `a drain for an older version changes nothing`() {
+            val target = DrainTarget.Domain(FailureDomain("f"))
+            apply(1, Command.SetDrain(OperationId("1"), target, true, baseVersion = 0))
+            apply(1, Command.SetDrain(OperationId("2"), target, false, baseVersion = 1))
+            apply(1, Command.SetDrain(OperationId("3"), target, true, baseVersion = 2))
+            assertRejected("drains_changed", 1, Command.SetDrain(OperationId("4"), target, false, baseVersion = 1))
+            assertEquals(setOf<DrainTarget>(target), state.drains)
+        }
     }
 
     @Nested
