Skip interim answers of upstreams instead of ending the call

On the way it found a fault: 100 Continue before the answer ended the call, since the decoder ends an interim response with a last piece of content too, and other interim answers (102, 103) were taken for the answer. Callers got 502 although the replica had run the request and answered. Interim answers are skipped now, with their last piece.

--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import samphirechute.core.HostPort
@@ -19,6 +20,9 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var call: ActiveCall? = null
     private var isKeepAlive = true
+
+    /** True while an interim response (1xx) is being read; the real one follows. */
+    private var isInterim = false
     private var isSkipping = false
     private var skippedBytes = 0L
     private var idleLimitMs = Long.MAX_VALUE
@@ -46,8 +50,13 @@
             )
             return
         }
+        if (message is HttpResponse) isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        if (isInterim) {
+            // The decoder ends each response with a last piece of content, also an interim one, which has no body.
+            if (message is LastHttpContent) isInterim = false
+            return
+        }
         if (message is HttpResponse) {
-            if (message.status().code() == CONTINUE_STATUS) return
             isKeepAlive = HttpUtil.isKeepAlive(message)
             idleLimitMs = idleLimitMs(message)
             isSkipping = !current.receiveHead(message)
@@ -131,8 +140,6 @@
     }
 
     private companion object {
-        const val CONTINUE_STATUS = 100
-
         /** The size of the largest complete response that is accepted; a late copy of one is no larger. */
         const val MAX_SKIPPED_BYTES = 4L * 1024 * 1024
         const val MS_PER_SECOND = 1_000L
