Refuse requests that cannot end before a planned stop, and answer the rest

Report of other operators: in a planned stop, requests that came late in the grace were taken and cut at its end with no answer, among them requests that may not be repeated. That happened here too.

Cause: after SIGTERM requests on open connections were taken until the limit, whatever time they needed, and the process exited with those that ran.

Fix: while an entry instance stops, a request is refused at once (503, not run, with a time to come back) if it cannot end before the limit: one that may run only once needs all the time that it may take, any other 1.5 s. What is still running at the limit gets its final answer (502, or 503 if it was not sent) before the process exits; a stream is broken off.

--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -95,12 +95,19 @@
 
     fun handle(exchange: Exchange) = requestHandler.handle(exchange)
 
-    /** Makes this instance not ready, so that it gets no new connections. Requests that still arrive are served. */
-    fun beginStop() {
+    /**
+     * Makes this instance not ready, so that it gets no new connections. Requests that still arrive are served if they can
+     * end within [limitMs].
+     */
+    fun beginStop(limitMs: Long) {
         isStopping = true
-        log.event("entry_leaving", mapOf("running" to runningRequests))
+        requestHandler.beginStop(timer.nowMs() + limitMs)
+        log.event("entry_leaving", mapOf("running" to runningRequests, "limit_ms" to limitMs))
     }
 
+    /** Answers all requests that are still running, because the process ends now. */
+    fun endAll() = requestHandler.endAll()
+
     /**
      * True when the configuration may be used. The first answer after a start may come from a control instance that is
      * behind, so an unconfirmed configuration counts only after a wait.
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
@@ -15,6 +15,9 @@
     /** No configuration is known yet. */
     data object NotReady : Refusal(503, "not_ready", retryAfterMs = NOT_READY_RETRY_MS)
 
+    /** This instance stops before the request could end. Another instance can take it at once. */
+    data object Stopping : Refusal(503, "stopping", retryAfterMs = STOPPING_RETRY_MS)
+
     /** No upstream has run the request, and the caller may retry later. */
     class Busy(
         reason: String,
@@ -32,5 +35,6 @@
     private companion object {
         /** By then, this or another instance is likely to have the configuration. */
         const val NOT_READY_RETRY_MS = 1_000L
+        const val STOPPING_RETRY_MS = 100L
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -36,7 +36,7 @@
     private val caller: CallerRequest,
     private val accepted: AcceptedRequest,
     private val arrivedMs: Long,
-    private val onEnd: () -> Unit,
+    private val onEnd: (Relay) -> Unit,
 ) : EventSink {
     private val route = accepted.route
     private val requestId = checkNotNull(caller.id) { "a request without an identifier was accepted" }
@@ -484,15 +484,24 @@
         finish(STREAM_ABORTED, reason)
     }
 
-    private fun onTimeout() {
+    /** Sends the final answer because the process ends; a stream that has begun is broken off. */
+    fun endWithProcess() = endEarly("stopped", Refusal.Lost("stopped"), Refusal.Stopping)
+
+    private fun onTimeout() = endEarly("timed_out", Refusal.TimedOut, Refusal.Busy("timed_out", RETRY_AFTER_MS))
+
+    private fun endEarly(
+        reason: String,
+        ifSent: Refusal,
+        ifNotRun: Refusal,
+    ) {
         if (isDone) return
         val wasSent = attempt != null || mayHaveRun
         endAttempt(PlacementOutcome.CANCELLED)
         val open = stream
         when {
-            open != null -> abortStream(open, "timed_out")
-            wasSent -> answerWith(Refusal.TimedOut)
-            else -> answerWith(Refusal.Busy("timed_out", RETRY_AFTER_MS))
+            open != null -> abortStream(open, reason)
+            wasSent -> answerWith(ifSent)
+            else -> answerWith(ifNotRun)
         }
     }
 
@@ -545,7 +554,7 @@
                 "whole" to accepted.wholeRequest,
             ),
         )
-        onEnd()
+        onEnd(this)
     }
 
     private fun elapsedMs() = context.timer.nowMs() - arrivedMs
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
@@ -3,9 +3,11 @@
 import samphirechute.core.RequestTrait
 import samphirechute.core.time.Subscription
 import samphirechute.net.Exchange
+import samphirechute.serving.cluster.Repeatability
 import samphirechute.serving.cluster.Route
 import samphirechute.serving.cluster.ServingConfig
 import samphirechute.serving.cluster.Team
+import kotlin.math.min
 import kotlin.random.Random
 
 /**
@@ -29,9 +31,13 @@
     /** The revision of the configuration in use, or null before the first one. */
     val revision: Long? get() = table?.config?.revision
 
+    private val relays = LinkedHashSet<Relay>()
+
+    /** When the process ends, or null while it does not stop. */
+    private var stopsAtMs: Long? = null
+
     /** The number of accepted requests without a final answer. */
-    var running = 0
-        private set
+    val running: Int get() = relays.size
 
     /** Puts a configuration into use and handles the held requests. */
     fun applyConfig(config: ServingConfig) {
@@ -46,6 +52,17 @@
 
     fun handle(exchange: Exchange) = handle(exchange, timer.nowMs())
 
+    /**
+     * From now on refuses requests that cannot end before [stopsAtMs]: one that may run only once needs all the time that
+     * it may take, any other needs [REPEATABLE_TIME_MS].
+     */
+    fun beginStop(stopsAtMs: Long) {
+        this.stopsAtMs = stopsAtMs
+    }
+
+    /** Answers all requests that are still running, because the process ends now. */
+    fun endAll() = relays.toList().forEach { it.endWithProcess() }
+
     private fun handle(
         exchange: Exchange,
         arrivedMs: Long,
@@ -59,10 +76,23 @@
         if (team == null && requiresKey(current.config, route.isPublic)) {
             return refuse(exchange, caller, Refusal.UnknownKey)
         }
-        running++
+        if (!canEndInTime(route, caller, arrivedMs)) return refuse(exchange, caller, Refusal.Stopping)
         val whole = wholeRequestTrait(request, caller.host, team?.name, caller.key)
         val accepted = accept(current, route, team, whole, caller.sharedParts)
-        Relay(context, exchange, caller, accepted, arrivedMs) { running-- }.start()
+        val relay = Relay(context, exchange, caller, accepted, arrivedMs) { relays -= it }
+        relays += relay
+        relay.start()
+    }
+
+    private fun canEndInTime(
+        route: Route,
+        caller: CallerRequest,
+        arrivedMs: Long,
+    ): Boolean {
+        val leftMs = (stopsAtMs ?: return true) - arrivedMs
+        val longestMs = min(caller.deadlineMs ?: Long.MAX_VALUE, route.timeoutMs)
+        val isRepeatable = route.repeatability == Repeatability.REPEATABLE
+        return leftMs >= if (isRepeatable) min(longestMs, REPEATABLE_TIME_MS) else longestMs
     }
 
     private fun hold(
@@ -130,6 +160,9 @@
     private companion object {
         /** When all instances start together, they elect a leader and receive the configuration within this time. */
         const val STARTING_MS = 2_000L
+
+        /** Most repeatable requests end within this time, and one that does not can run again elsewhere. */
+        const val REPEATABLE_TIME_MS = 1_500L
         const val MAX_HELD = 64
     }
 }
