Refuse streams that come late in a planned stop

It needs 4 s until the limit now, in which most streams end; before it needed 1.5 s like any repeatable request.

--- a/routing/src/main/kotlin/samphirechute/routing/quarantine/RepeatedEnds.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/quarantine/RepeatedEnds.kt
@@ -60,10 +60,7 @@
         val (whole, ends) = endsByRequest.maxByOrNull { it.value.size } ?: return null
         if (ends.count { it.endedMs <= untilMs } < ENDS) return null
         val isTied =
-            endsByRequest.any { (other, others) ->
-                other != whole &&
-                    ends.all { end -> others.any(end::isSame) }
-            }
+            endsByRequest.any { (other, others) -> other != whole && ends.all { end -> others.any(end::isSame) } }
         return (whole to ends.toList()).takeUnless { isTied }
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
@@ -54,7 +54,7 @@
 
     /**
      * From now on refuses requests that cannot end before [stopsAtMs]: one that may run only once needs all the time that
-     * it may take, any other needs [REPEATABLE_TIME_MS].
+     * it may take, a stream [STREAM_TIME_MS] and any other [REPEATABLE_TIME_MS].
      */
     fun beginStop(stopsAtMs: Long) {
         this.stopsAtMs = stopsAtMs
@@ -91,8 +91,13 @@
     ): Boolean {
         val leftMs = (stopsAtMs ?: return true) - arrivedMs
         val longestMs = min(caller.deadlineMs ?: Long.MAX_VALUE, route.timeoutMs)
-        val isRepeatable = route.repeatability == Repeatability.REPEATABLE
-        return leftMs >= if (isRepeatable) min(longestMs, REPEATABLE_TIME_MS) else longestMs
+        val usualMs =
+            when {
+                route.isStream -> STREAM_TIME_MS
+                route.repeatability == Repeatability.REPEATABLE -> REPEATABLE_TIME_MS
+                else -> longestMs
+            }
+        return leftMs >= min(longestMs, usualMs)
     }
 
     private fun hold(
@@ -161,6 +166,9 @@
         /** When all instances start together, they elect a leader and receive the configuration within this time. */
         const val STARTING_MS = 2_000L
 
+        /** Most streams end within this time. One that does not is cut, and its caller has to ask again. */
+        const val STREAM_TIME_MS = 4_000L
+
         /** Most repeatable requests end within this time, and one that does not can run again elsewhere. */
         const val REPEATABLE_TIME_MS = 1_500L
         const val MAX_HELD = 64
