Log how an entry instance decides about requests while it stops

The record does not say when they came, what time they were expected to need, or what was open when the process ended; 'stopped cut=N' was all that the instance logged.

The lines go through the existing logs. No decision changes.

--- a/net/src/main/kotlin/samphirechute/net/HttpServer.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -43,6 +43,9 @@
 
     val openConnections: Int get() = connections.size
 
+    /** Bytes of responses that were written to connections and not yet passed to the operating system. */
+    val unsentBytes: Long get() = connections.sumOf { it.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L }
+
     /** Bytes of request bodies currently held in memory. */
     val bufferedBytes: Long get() = budget.usedBytes
 
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -78,6 +78,9 @@
 
     val runningRequests: Int get() = requestHandler.running
 
+    /** The number of requests that wait for the first configuration. */
+    val heldRequests: Int get() = requestHandler.heldRequests
+
     /** The number of known upstreams that have not left. */
     val knownUpstreams: Int get() = table.all().count { it.state != UpstreamState.GONE }
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -485,7 +485,21 @@
     }
 
     /** Sends the final answer because the process ends; a stream that has begun is broken off. */
-    fun endWithProcess() = endEarly("stopped", Refusal.Lost("stopped"), Refusal.Stopping)
+    fun endWithProcess(stopStartedMs: Long) {
+        context.log.event(
+            "cut_by_stop",
+            mapOf(
+                "request" to requestId,
+                "route" to route.name,
+                "upstream" to upstream,
+                "age_ms" to elapsedMs(),
+                "events" to lastEventId,
+                "begun" to (stream != null),
+                "came_late" to (arrivedMs >= stopStartedMs),
+            ),
+        )
+        endEarly("stopped", Refusal.Lost("stopped"), Refusal.Stopping)
+    }
 
     private fun onTimeout() = endEarly("timed_out", Refusal.TimedOut, Refusal.Busy("timed_out", RETRY_AFTER_MS))
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
@@ -35,10 +35,14 @@
 
     /** When the process ends, or null while it does not stop. */
     private var stopsAtMs: Long? = null
+    private var stopStartedMs = 0L
 
     /** The number of accepted requests without a final answer. */
     val running: Int get() = relays.size
 
+    /** The number of requests that wait for the first configuration. */
+    val heldRequests: Int get() = held.size
+
     /** Puts a configuration into use and handles the held requests. */
     fun applyConfig(config: ServingConfig) {
         table = RouteTable(config)
@@ -58,10 +62,11 @@
      */
     fun beginStop(stopsAtMs: Long) {
         this.stopsAtMs = stopsAtMs
+        stopStartedMs = timer.nowMs()
     }
 
     /** Answers all requests that are still running, because the process ends now. */
-    fun endAll() = relays.toList().forEach { it.endWithProcess() }
+    fun endAll() = relays.toList().forEach { it.endWithProcess(stopStartedMs) }
 
     private fun handle(
         exchange: Exchange,
@@ -91,13 +96,26 @@
     ): Boolean {
         val leftMs = (stopsAtMs ?: return true) - arrivedMs
         val longestMs = min(caller.deadlineMs ?: Long.MAX_VALUE, route.timeoutMs)
-        val usualMs =
+        val (usualMs, basis) =
             when {
-                route.isStream -> STREAM_TIME_MS
-                route.repeatability == Repeatability.REPEATABLE -> REPEATABLE_TIME_MS
-                else -> longestMs
+                route.isStream -> STREAM_TIME_MS to "stream"
+                route.repeatability == Repeatability.REPEATABLE -> REPEATABLE_TIME_MS to "repeatable"
+                else -> longestMs to "longest"
             }
-        return leftMs >= min(longestMs, usualMs)
+        val neededMs = min(longestMs, usualMs)
+        val isAdmitted = leftMs >= neededMs
+        context.log.event(
+            if (isAdmitted) "stop_admitted" else "stop_refused",
+            mapOf(
+                "request" to caller.id,
+                "route" to route.name,
+                "left_ms" to leftMs,
+                "needed_ms" to neededMs,
+                "basis" to basis,
+                "stop_age_ms" to arrivedMs - stopStartedMs,
+            ),
+        )
+        return isAdmitted
     }
 
     private fun hold(
