Say in the log which write a disk refused, and which disk is silent

The log could not tell why: store_stopped gave the text of the exception, the same for a refused write and for a failed sync, and no line named the member whose disk confirmed nothing.

--- a/state/src/main/kotlin/samphirechute/state/disk/DiskError.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/DiskError.kt
@@ -25,9 +25,41 @@
         consequence: String,
     ) : DiskError("file $file is missing: $consequence")
 
-    /** A write or a sync failed, for example because the disk is full. */
-    class WriteFailed(
+    /** A write or a sync failed. [step] says what was being written. */
+    sealed class WriteFailed(
+        problem: String,
+        folder: String,
+        step: DiskStep,
+        cause: IOException,
+    ) : DiskError("$problem in folder $folder, $step: ${cause.message ?: cause}", cause)
+
+    /** The disk did not take bytes, a file or a name, most often because it is full. It has not lost older data. */
+    class WriteRefused(
         folder: String,
+        step: DiskStep,
         cause: IOException,
-    ) : DiskError("write to folder $folder failed: ${cause.message ?: cause}", cause)
+    ) : WriteFailed(if (isNoRoom(cause)) "no room" else "write refused", folder, step, cause)
+
+    /** A sync failed. Data that it covered may be lost although a later sync reports success. */
+    class SyncFailed(
+        folder: String,
+        step: DiskStep,
+        cause: IOException,
+    ) : WriteFailed("sync failed", folder, step, cause)
+
+    private companion object {
+        /** The texts of ENOSPC and EDQUOT, for which the JVM has no exception classes. */
+        val NO_ROOM = listOf("no space left on device", "disk quota exceeded")
+
+        fun isNoRoom(cause: IOException) = NO_ROOM.any { it in cause.message.orEmpty().lowercase() }
+    }
+}
+
+/** What was being written when the disk reported an error: [bytes] by [name], with [usableBytes] left in the folder. */
+data class DiskStep(
+    val name: String,
+    val bytes: Long,
+    val usableBytes: Long?,
+) {
+    override fun toString() = "$name of $bytes bytes, ${usableBytes ?: "unknown"} bytes usable"
 }
--- a/state/src/main/kotlin/samphirechute/state/disk/Folder.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/Folder.kt
@@ -10,6 +10,9 @@
     /** The name of the folder in error messages. */
     val path: String
 
+    /** The bytes that can still be written, for log lines only, or null if that is unknown. */
+    val usableBytes: Long? get() = null
+
     fun list(): List<String>
 
     fun size(name: String): Long
--- a/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
@@ -22,6 +22,7 @@
     private val root: Path,
 ) : Folder {
     override val path: String get() = root.toString()
+    override val usableBytes: Long get() = root.toFile().usableSpace
 
     init {
         Files.createDirectories(root)
--- a/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
@@ -36,6 +36,7 @@
     private var lastToken = 0L
     private var isReadable = false
     private var leader: InstanceId? = null
+    private val diskWatch = DiskWatch()
 
     var onApplied: (List<AppliedEntry>) -> Unit = {}
     var onSnapshotInstalled: () -> Unit = {}
@@ -59,7 +60,10 @@
     var onStopped: (reason: String) -> Unit = {}
 
     fun start() {
-        timer.every(TICK_MS) { handle(RaftInput.Tick(System.currentTimeMillis())) }
+        timer.every(TICK_MS) {
+            handle(RaftInput.Tick(System.currentTimeMillis()))
+            diskWatch.tick(node, timer.nowMs())
+        }
     }
 
     fun receive(message: RaftMessage) = handle(RaftInput.Received(message))
--- a/state/src/main/kotlin/samphirechute/state/raft/DiskTracker.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/DiskTracker.kt
@@ -16,6 +16,9 @@
     val hasSnapshot get() = pending.any { it.isSnapshot }
     val lastIssued get() = issued
 
+    /** When the oldest write in progress was issued, or null. */
+    val oldestIssuedMs get() = pending.firstOrNull()?.issuedMs
+
     /** Registers a write after which the log on disk ends at [lastIndex], and returns its sequence number. */
     fun issue(
         nowMs: Long,
--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -71,7 +71,15 @@
         return true
     }
 
+    /** The other members whose disks have confirmed nothing although they lack entries, with the time since when. */
+    val unconfirmedDisks: Map<DiskIdentity, Long>
+        get() =
+            replicationTargets()
+                .mapNotNull { target -> target.unconfirmedSinceMs?.let { target.identity to it } }
+                .toMap()
+
     fun tick() {
+        replicationTargets().forEach { it.observeDisk(member.writtenIndex, member.nowMs) }
         if (member.nowMs - lastHeartbeatMs >= member.timings.heartbeatIntervalMs) heartbeat()
         flush()
     }
--- a/state/src/main/kotlin/samphirechute/state/raft/Progress.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Progress.kt
@@ -17,11 +17,27 @@
     var wallOffsetMs: Long? = null
     var transfer: SnapshotTransfer? = null
 
+    /** Since when this member's disk has confirmed nothing although it lacks entries; null if it lacks none. */
+    var unconfirmedSinceMs: Long? = null
+        private set
+    private var observedMatch = 0L
+
     val hasAnswered get() = ackedSentMs != null
 
     /** The time since the latest request that this member has answered was sent. */
     fun silentMs(nowMs: Long): Long = nowMs - maxOf(ackedSentMs ?: startedMs, startedMs)
 
+    fun observeDisk(
+        lastIndex: Long,
+        nowMs: Long,
+    ) {
+        when {
+            matchIndex >= lastIndex -> unconfirmedSinceMs = null
+            unconfirmedSinceMs == null || matchIndex > observedMatch -> unconfirmedSinceMs = nowMs
+        }
+        observedMatch = matchIndex
+    }
+
     fun recordContact(
         echoMs: Long,
         wallMs: Long,
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -66,6 +66,13 @@
     /** On the leader: the change of the membership that comes next, if any; at least [minMembers] remain. */
     fun dueChange(minMembers: Int): DueChange? = policy?.due(minMembers)
 
+    /** Since when the disks that should confirm writes have confirmed none: this member's, and on the leader all. */
+    fun unconfirmedDisks(): Map<DiskIdentity, Long> =
+        leadership?.unconfirmedDisks.orEmpty() +
+            member.disk.oldestIssuedMs
+                ?.let { mapOf(member.identity to it) }
+                .orEmpty()
+
     /** On the leader: voters that have not answered for [durationMs]. */
     fun unresponsiveMembers(durationMs: Long): List<StoreMember> = leadership?.unresponsiveVoters(durationMs).orEmpty()
 
