--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
@@ -30,7 +30,10 @@
     override fun read(name: String): InputStream = ByteArrayInputStream(content(name).bytes)
 
     override fun append(name: String): AppendFile {
-        visible = if (name in visible) visible else visible + (name to Content())
+        if (name !in visible) {
+            if (freeBytes <= 0) throw IOException("No space left on device")
+            visible = visible + (name to Content())
+        }
         val content = content(name)
         return object : AppendFile {
             override fun append(bytes: ByteArray) {
@@ -38,7 +41,7 @@
                 val writable = minOf(bytes.size.toLong(), freeBytes).toInt()
                 content.bytes += bytes.copyOf(writable)
                 freeBytes -= writable
-                if (writable < bytes.size) throw IOException("no space left on device")
+                if (writable < bytes.size) throw IOException("No space left on device")
             }
 
             override fun sync() {
