Name the connection of each sending and log what is skipped on it

Nothing told a reused connection from a fresh one, or said how many answers to other requests were skipped on it. attempt_ended now has the number of the connection, the calls before this one, and the skipped answers and bytes. answer_skipped has one line for each skipped answer, unasked_bytes one for each connection on which bytes came while no request waited. No change of logic.

--- a/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
+++ b/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
@@ -19,6 +19,8 @@
     private val listener: ResponseListener,
 ) : ClientCall {
     private var channel: Channel? = null
+    private var handler: ClientConnection? = null
+    private var callsBefore = 0
     private var writer: BodyWriter? = null
     private var isDone = false
     private var isReading = true
@@ -30,7 +32,7 @@
             return
         }
         channel = connected
-        connected.connection().startCall(this)
+        handler = connected.connection().also { callsBefore = it.startCall(this) }
         connected.config().isAutoRead = isReading
         listener.onSending()
         connected.write(requestHead())
@@ -46,15 +48,26 @@
     /** True once the whole request is written, so that the connection can be reused. */
     val isWritten: Boolean get() = writer?.isDone ?: false
 
+    /** Names the request in log lines; null for a call without a name. */
+    val label: String? get() = request.label
+
+    override val connection: ConnectionUse? get() = handler?.use()?.copy(callsBefore = callsBefore)
+
+    /** The identifier that [response] bears, for log lines. */
+    fun idIn(response: HttpResponse): String? = request.idIn(headOf(response))
+
     /** Passes the head of a response to the listener; returns false when the response belongs to another request. */
     fun receiveHead(response: HttpResponse): Boolean {
         if (isDone) return true
-        val head = ResponseHead(response.status().code(), response.headers().map { HeaderField(it.key, it.value) })
+        val head = headOf(response)
         if (!request.isExpectedResponse(head)) return false
         listener.onResponseHead(head)
         return true
     }
 
+    private fun headOf(response: HttpResponse) =
+        ResponseHead(response.status().code(), response.headers().map { HeaderField(it.key, it.value) })
+
     fun receiveBody(piece: ByteBuf) {
         if (!isDone && piece.isReadable) listener.onBody(piece)
     }
--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -26,11 +26,19 @@
     private var isSkipping = false
     private var skippedBytes = 0L
     private var idleLimitMs = Long.MAX_VALUE
+    private val record = ConnectionRecord(address)
 
-    fun startCall(next: ActiveCall) {
+    /** Sees the bytes of the connection before they are decoded. */
+    val unaskedBytes = UnaskedBytesHandler(isIdle = { call == null }, onUnasked = record::recordUnasked)
+
+    /** Starts a call and returns how many the connection carried before it. */
+    fun startCall(next: ActiveCall): Int {
         call = next
+        return record.startCall()
     }
 
+    fun use() = record.use()
+
     override fun channelRead0(
         context: ChannelHandlerContext,
         message: HttpObject,
@@ -59,7 +67,7 @@
         if (message is HttpResponse) {
             isKeepAlive = HttpUtil.isKeepAlive(message)
             idleLimitMs = idleLimitMs(message)
-            isSkipping = !current.receiveHead(message)
+            isSkipping = !receiveHead(current, message)
         }
         if (isSkipping) return skipContent(context, current, message)
         if (message is HttpContent) current.receiveBody(message.content())
@@ -67,14 +75,29 @@
         if (message is LastHttpContent && call === current) completeCall(context, current)
     }
 
+    private fun receiveHead(
+        current: ActiveCall,
+        message: HttpResponse,
+    ): Boolean {
+        val isOwn = current.receiveHead(message)
+        if (!isOwn) record.startSkipped(message.status().code(), current.idIn(message), current.label)
+        return isOwn
+    }
+
     /** Skips a response to another request, up to a limit, since such a response may never end. */
     private fun skipContent(
         context: ChannelHandlerContext,
         current: ActiveCall,
         message: HttpObject,
     ) {
-        if (message is HttpContent) skippedBytes += message.content().readableBytes()
-        if (message is LastHttpContent) isSkipping = false
+        if (message is HttpContent) {
+            skippedBytes += message.content().readableBytes()
+            record.addSkipped(message.content().readableBytes())
+        }
+        if (message is LastHttpContent) {
+            isSkipping = false
+            record.endSkipped(isWhole = true)
+        }
         if (skippedBytes <= MAX_SKIPPED_BYTES) return
         call = null
         context.close()
@@ -88,6 +111,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         pool.remove(address, context.channel())
+        record.endSkipped(isWhole = false)
         val current = call
         call = null
         current?.fail(ClientFailure.Closed("peer closed the connection"))
--- a/net/src/main/kotlin/samphirechute/net/ClientRequest.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientRequest.kt
@@ -23,6 +23,10 @@
      * earlier request on the same connection.
      */
     val isExpectedResponse: (ResponseHead) -> Boolean = { true },
+    /** Names the request in log lines. */
+    val label: String? = null,
+    /** Returns the identifier in a response that is skipped, for log lines. */
+    val idIn: (ResponseHead) -> String? = { null },
 ) {
     private companion object {
         val EMPTY = ByteArray(0)
--- a/net/src/main/kotlin/samphirechute/net/HttpClient.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpClient.kt
@@ -96,7 +96,8 @@
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 val codec = HttpClientCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, CHUNK_BYTES)
-                channel.pipeline().addLast(traffic.handler, codec, ClientConnection(address, pool))
+                val connection = ClientConnection(address, pool)
+                channel.pipeline().addLast(traffic.handler, connection.unaskedBytes, codec, connection)
             }
         }
 
--- a/net/src/main/kotlin/samphirechute/net/ResponseListener.kt
+++ b/net/src/main/kotlin/samphirechute/net/ResponseListener.kt
@@ -32,6 +32,9 @@
     /** Ends the call and closes its connection. */
     fun cancel()
 
+    /** What is known of the connection of the call; null before it has one. */
+    val connection: ConnectionUse? get() = null
+
     /** Pauses or resumes reading the response, so that a slow reader downstream slows the sender down. */
     fun setReading(isReading: Boolean)
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -8,6 +8,7 @@
 import samphirechute.net.ClientCall
 import samphirechute.net.ClientFailure
 import samphirechute.net.ClientRequest
+import samphirechute.net.ConnectionUse
 import samphirechute.net.ResponseHead
 import samphirechute.net.ResponseListener
 import samphirechute.net.ServerRequest
@@ -59,6 +60,9 @@
     var firstByteMs: Long? = null
         private set
 
+    /** What is known of the connection that the request was sent on; null before that. */
+    val connection: ConnectionUse? get() = call?.connection
+
     private var headMs = 0L
 
     /** The time between the head of a stream and its first event that is no comment; null before that event. */
@@ -98,6 +102,13 @@
                 relayedHeaders = context.protocol.upstreamHeaders(request, dispatch),
                 maxIdleMs = if (mustRunOnce) ONCE_IDLE_MS else IDLE_MS,
                 isExpectedResponse = { context.protocol.readAnswer(it).requestId == requestId },
+                label = requestId.value,
+                idIn = {
+                    context.protocol
+                        .readAnswer(it)
+                        .requestId
+                        ?.value
+                },
             )
         upstream = dispatch.upstream
         restartSilenceTimer(timeouts.firstByteMs)
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -334,6 +334,10 @@
             "head" to ended.status,
             "events" to ended.events,
             "sent_age_ms" to context.timer.nowMs() - ended.sentMs,
+            "connection" to ended.connection?.number,
+            "calls_before" to ended.connection?.callsBefore,
+            "skipped_answers" to ended.connection?.skippedAnswers,
+            "skipped_bytes" to ended.connection?.skippedBytes,
             "ms" to elapsedMs(),
         ) + partsField(result is AttemptResult.Lost),
     )
