Refuse what the time left of a planned stop does not cover

All were of the route whose streams last longest, 4 to 10 s with 15 s allowed.

Cause: a stream was taken while 4 s were left of the stop, whatever streams of its route need, so one that came up to 3.7 s after SIGTERM and needed longer was passed on and cut at the limit. Repeatable requests were taken with 1.5 s left.

Change: StopAdmission decides. Until the balancer has noticed (2.5 s), a request is taken if the time left covers the longest of the recent whole answers of its route, or, with fewer than 16 of them, all that it may take (deadline, route's timeout). After that, and for requests that may run only once, it has to cover all that it may take. What is refused gets 503 'stopping' at once, and its caller can ask another instance while there is time.

The refusals have their own tests in LateStreamShutdownSpec and StopAdmissionSpec.

--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -38,7 +38,11 @@
     private val arrivedMs: Long,
     private val onEnd: (Relay) -> Unit,
 ) : EventSink {
-    private val route = accepted.route
+    val route = accepted.route
+
+    /** How long the whole answer took, or null while there is none and after a failure. */
+    var wholeAfterMs: Long? = null
+        private set
     private val requestId = checkNotNull(caller.id) { "a request without an identifier was accepted" }
     private val untilMs = arrivedMs + min(caller.deadlineMs ?: Long.MAX_VALUE / 4, route.timeoutMs)
     private val isRepeatable = route.repeatability == Repeatability.REPEATABLE
@@ -410,12 +414,14 @@
         body.write(result.body)
         body.finish()
         context.log.recordFirstByte(route.name, elapsedMs())
+        if (result.head.status < FIRST_FAILURE) wholeAfterMs = elapsedMs()
         finish(result.head.status, "answered")
     }
 
     private fun onStreamEnded() {
         context.budget.recordSuccess(context.timer.nowMs())
         stream?.finish()
+        wholeAfterMs = elapsedMs()
         finish(OK, "answered")
     }
 
@@ -485,7 +491,7 @@
     }
 
     /** Sends the final answer because the process ends; a stream that has begun is broken off. */
-    fun endWithProcess(stopStartedMs: Long) {
+    fun endWithProcess(isLate: (Long) -> Boolean) {
         context.log.event(
             "cut_by_stop",
             mapOf(
@@ -495,7 +501,7 @@
                 "age_ms" to elapsedMs(),
                 "events" to lastEventId,
                 "begun" to (stream != null),
-                "came_late" to (arrivedMs >= stopStartedMs),
+                "came_late" to isLate(arrivedMs),
             ),
         )
         endEarly("stopped", Refusal.Lost("stopped"), Refusal.Stopping)
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
@@ -3,11 +3,9 @@
 import samphirechute.core.RequestTrait
 import samphirechute.core.time.Subscription
 import samphirechute.net.Exchange
-import samphirechute.serving.cluster.Repeatability
 import samphirechute.serving.cluster.Route
 import samphirechute.serving.cluster.ServingConfig
 import samphirechute.serving.cluster.Team
-import kotlin.math.min
 import kotlin.random.Random
 
 /**
@@ -33,9 +31,7 @@
 
     private val relays = LinkedHashSet<Relay>()
 
-    /** When the process ends, or null while it does not stop. */
-    private var stopsAtMs: Long? = null
-    private var stopStartedMs = 0L
+    private val stopAdmission = StopAdmission()
 
     /** The number of accepted requests without a final answer. */
     val running: Int get() = relays.size
@@ -46,6 +42,7 @@
     /** Puts a configuration into use and handles the held requests. */
     fun applyConfig(config: ServingConfig) {
         table = RouteTable(config)
+        stopAdmission.retain(config.routes.mapTo(HashSet()) { it.name })
         val waiting = held.toMap()
         held.clear()
         waiting.forEach { (exchange, heldRequest) ->
@@ -56,17 +53,11 @@
 
     fun handle(exchange: Exchange) = handle(exchange, timer.nowMs())
 
-    /**
-     * From now on refuses requests that cannot end before [stopsAtMs]: one that may run only once needs all the time that
-     * it may take, a stream [STREAM_TIME_MS] and any other [REPEATABLE_TIME_MS].
-     */
-    fun beginStop(stopsAtMs: Long) {
-        this.stopsAtMs = stopsAtMs
-        stopStartedMs = timer.nowMs()
-    }
+    /** From now on refuses requests that cannot end before [stopsAtMs], see [StopAdmission]. */
+    fun beginStop(stopsAtMs: Long) = stopAdmission.begin(timer.nowMs(), stopsAtMs)
 
     /** Answers all requests that are still running, because the process ends now. */
-    fun endAll() = relays.toList().forEach { it.endWithProcess(stopStartedMs) }
+    fun endAll() = relays.toList().forEach { it.endWithProcess(stopAdmission::isLate) }
 
     private fun handle(
         exchange: Exchange,
@@ -81,41 +72,37 @@
         if (team == null && requiresKey(current.config, route.isPublic)) {
             return refuse(exchange, caller, Refusal.UnknownKey)
         }
-        if (!canEndInTime(route, caller, arrivedMs)) return refuse(exchange, caller, Refusal.Stopping)
+        if (!canEndInTime(route, caller)) return refuse(exchange, caller, Refusal.Stopping)
         val whole = wholeRequestTrait(request, caller.host, team?.name, caller.key)
         val accepted = accept(current, route, team, whole, caller.sharedParts)
-        val relay = Relay(context, exchange, caller, accepted, arrivedMs) { relays -= it }
+        val relay = Relay(context, exchange, caller, accepted, arrivedMs, ::onEnd)
         relays += relay
         relay.start()
     }
 
+    /** Returns whether the request can end before the process does, and logs that if the process stops. */
     private fun canEndInTime(
         route: Route,
         caller: CallerRequest,
-        arrivedMs: Long,
     ): Boolean {
-        val leftMs = (stopsAtMs ?: return true) - arrivedMs
-        val longestMs = min(caller.deadlineMs ?: Long.MAX_VALUE, route.timeoutMs)
-        val (usualMs, basis) =
-            when {
-                route.isStream -> STREAM_TIME_MS to "stream"
-                route.repeatability == Repeatability.REPEATABLE -> REPEATABLE_TIME_MS to "repeatable"
-                else -> longestMs to "longest"
-            }
-        val neededMs = min(longestMs, usualMs)
-        val isAdmitted = leftMs >= neededMs
+        val decision = stopAdmission.decide(route, caller.deadlineMs, timer.nowMs()) ?: return true
         context.log.event(
-            if (isAdmitted) "stop_admitted" else "stop_refused",
+            if (decision.isAdmitted) "stop_admitted" else "stop_refused",
             mapOf(
                 "request" to caller.id,
                 "route" to route.name,
-                "left_ms" to leftMs,
-                "needed_ms" to neededMs,
-                "basis" to basis,
-                "stop_age_ms" to arrivedMs - stopStartedMs,
+                "left_ms" to decision.leftMs,
+                "needed_ms" to decision.neededMs,
+                "basis" to decision.basis.name.lowercase(),
+                "stop_age_ms" to decision.stopAgeMs,
             ),
         )
-        return isAdmitted
+        return decision.isAdmitted
+    }
+
+    private fun onEnd(relay: Relay) {
+        relays -= relay
+        relay.wholeAfterMs?.let { stopAdmission.record(relay.route, it) }
     }
 
     private fun hold(
@@ -184,11 +171,6 @@
         /** When all instances start together, they elect a leader and receive the configuration within this time. */
         const val STARTING_MS = 2_000L
 
-        /** Most streams end within this time. One that does not is cut, and its caller has to ask again. */
-        const val STREAM_TIME_MS = 4_000L
-
-        /** Most repeatable requests end within this time, and one that does not can run again elsewhere. */
-        const val REPEATABLE_TIME_MS = 1_500L
         const val MAX_HELD = 64
     }
 }
