Answer held requests when the process of an entry instance ends

What a caller saw: a request that waited for the first configuration ended with the process, without an answer. A request that waits 20 ms after a pause had the same end by reading.

Cause: neither counts as running, and endAll answered running requests only.

Evidence: GracefulShutdownSpec.HeldRequests failed with the main code of ('the connection was closed without an answer') and passes now. The requests that wait after a pause and those that arrive after endAll have no test.

--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -108,7 +108,7 @@
         log.event("entry_leaving", mapOf("running" to runningRequests, "limit_ms" to limitMs))
     }
 
-    /** Answers all requests that are still running, because the process ends now. */
+    /** Answers all requests that are still running or held, and each that arrives from now on: the process ends now. */
     fun endAll() = requestHandler.endAll()
 
     /**
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
@@ -32,6 +32,7 @@
     private val relays = LinkedHashSet<Relay>()
 
     private val stopAdmission = StopAdmission()
+    private var hasEnded = false
 
     /** The number of accepted requests without a final answer. */
     val running: Int get() = relays.size
@@ -56,8 +57,20 @@
     /** From now on refuses requests that cannot end before [stopsAtMs], see [StopAdmission]. */
     fun beginStop(stopsAtMs: Long) = stopAdmission.begin(timer.nowMs(), stopsAtMs)
 
-    /** Answers all requests that are still running, because the process ends now. */
-    fun endAll() = relays.toList().forEach { it.endWithProcess(stopAdmission::isLate) }
+    /**
+     * Answers all requests that are still running or held, because the process ends now, and from now on refuses each that
+     * arrives.
+     */
+    fun endAll() {
+        hasEnded = true
+        relays.toList().forEach { it.endWithProcess(stopAdmission::isLate) }
+        val waiting = held.toMap()
+        held.clear()
+        waiting.forEach { (exchange, heldRequest) ->
+            heldRequest.timeout.cancel()
+            refuse(exchange, context.protocol.read(exchange.request), Refusal.Stopping)
+        }
+    }
 
     private fun handle(
         exchange: Exchange,
@@ -65,6 +78,7 @@
     ) {
         val request = exchange.request
         val caller = context.protocol.read(request)
+        if (hasEnded) return refuse(exchange, caller, Refusal.Stopping)
         val current = table ?: return hold(exchange, caller, arrivedMs)
         val route = current.find(caller.host, request.path) ?: return refuse(exchange, caller, Refusal.NoRoute)
         if (caller.id == null) return refuse(exchange, caller, Refusal.MissingId)
