Keep a member whose disk is full, and try its writes again

Here, the first write that a disk refused stopped the member for good and ended the process with code 4 three seconds later. When the next disk was full before that one was back, no majority was left.

Cause: StoreDisk took every error for a lost write. That holds for a failed sync only. A write, an opening or a renaming that is refused has lost nothing that was confirmed.

A failed sync stays final; the two are told apart by the operation that failed. A control instance waits for room at its start.

The test "no further write is accepted after a failed one" contradicted this for refused writes.

--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -44,10 +44,13 @@
     private val client: PeerClient,
     post: (() -> Unit) -> Unit,
 ) : AutoCloseable {
+    // Nothing runs in this process yet, so the start may block until the disk has room.
     private val disk =
-        StoreDisk.open(NioFolder(checkNotNull(settings.dataFolder) { "a control instance needs a data folder" })) {
-            UUID.randomUUID().toString()
-        }
+        StoreDisk.openWhenRoom(
+            { NioFolder(checkNotNull(settings.dataFolder) { "a control instance needs a data folder" }) },
+            { UUID.randomUUID().toString() },
+            { Thread.sleep(ROOM_RETRY_MS) },
+        )
     private val driver =
         RaftDriver(timer, disk, post, ::send) {
             RaftNode(
@@ -296,6 +299,9 @@
 
     private companion object {
         const val LEADER_CONTACT_MS = 700L
+
+        /** The time between two attempts to start on a disk that refuses writes. */
+        const val ROOM_RETRY_MS = 200L
         const val MEMBERSHIP_TICK_MS = 100L
         const val LEAVE_CHECK_MS = 20L
 
--- a/state/src/main/kotlin/samphirechute/state/disk/DiskError.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/DiskError.kt
@@ -2,7 +2,7 @@
 
 import java.io.IOException
 
-/** The disk cannot provide or store the data of the log. The member must stop. */
+/** The disk cannot provide or store the data of the log. Except after [WriteRefused], the member must stop. */
 sealed class DiskError(
     message: String,
     cause: Throwable? = null,
--- a/state/src/main/kotlin/samphirechute/state/disk/Folder.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/Folder.kt
@@ -47,6 +47,9 @@
 interface AppendFile : AutoCloseable {
     fun append(bytes: ByteArray)
 
+    /** Cuts the file to [length] bytes, without making that durable. */
+    fun truncate(length: Long)
+
     /** Makes everything appended so far durable. */
     fun sync()
 }
--- a/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
@@ -79,6 +79,10 @@
         while (buffer.hasRemaining()) channel.write(buffer)
     }
 
+    override fun truncate(length: Long) {
+        channel.truncate(length)
+    }
+
     override fun sync() = channel.force(true)
 
     override fun close() = channel.close()
--- a/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
@@ -1,5 +1,6 @@
 package samphirechute.state.disk
 
+import samphirechute.core.log.KeyValueLog
 import samphirechute.state.raft.DiskWrite
 import samphirechute.state.raft.RestoredLog
 import samphirechute.state.store.StoreState
@@ -12,8 +13,9 @@
  * the next generation and then deletes the previous one, so there are never more than two. `identity` contains the disk
  * identity, and `lock` prevents a second process from opening the folder.
  *
- * After any error no further write is accepted, because a failed sync may have dropped data that a later sync would
- * report as durable.
+ * A write that the disk refuses, for example for lack of room, loses nothing that was confirmed: the log is cut back to
+ * what is durable before the same writes are tried again. After a failed sync no further write is accepted, because data
+ * that it covered may be lost although a later sync reports it as durable.
  */
 class StoreDisk private constructor(
     private val folder: Folder,
@@ -31,24 +33,33 @@
     private var step = ""
     private var stepBytes = 0L
 
-    /** Makes all of [writes] durable, in order. Throws [DiskError]; every later call then throws the same error. */
+    /** The length of the log up to which everything is durable. */
+    private var durableBytes = folder.size(logName(generation))
+
+    /** True when bytes of a refused write may follow, which no valid record may follow. */
+    private var isTorn = false
+
+    /** Makes all of [writes] durable, in order. Throws [DiskError], as [writeNext] does. */
     fun write(writes: List<DiskWrite>) {
+        var written = 0
+        while (written < writes.size) written += writeNext(writes.subList(written, writes.size))
+    }
+
+    /**
+     * Makes the first of [writes] durable, up to the next snapshot, and returns how many these were. After a
+     * [DiskError.WriteRefused] none of them is, and the next call must begin with the same writes. Any other [DiskError]
+     * is final: every later call throws the same error.
+     */
+    fun writeNext(writes: List<DiskWrite>): Int {
         failure?.let { throw it }
+        val group = writes.takeWhile { it.snapshot == null }
         try {
-            var group = ArrayList<DiskWrite>()
-            for (write in writes) {
-                if (write.snapshot == null) {
-                    group += write
-                } else {
-                    append(group)
-                    group = ArrayList()
-                    startGeneration(write.snapshot, write)
-                }
-            }
-            append(group)
+            val snapshot = writes.first().snapshot
+            if (snapshot == null) append(group) else startGeneration(snapshot, writes.first())
+            return maxOf(1, group.size)
         } catch (e: IOException) {
             val error = e as? DiskError ?: DiskError.WriteRefused(folder.path, folder.step(step, stepBytes), e)
-            failure = error
+            if (error !is DiskError.WriteRefused) failure = error
             throw error
         }
     }
@@ -62,12 +73,15 @@
     }
 
     private fun append(group: List<DiskWrite>) {
-        if (group.isEmpty()) return
         val record = encode(LogRecord.serializer(), LogRecord(group.map { it.toChange() }))
         step = "append"
         stepBytes = record.size.toLong()
+        if (isTorn) file.truncate(durableBytes)
+        isTorn = true
         file.append(record)
         syncing(folder, step, stepBytes) { file.sync() }
+        isTorn = false
+        durableBytes += record.size
     }
 
     /**
@@ -81,16 +95,54 @@
         val next = generation + 1
         step = "snapshot $next"
         stepBytes = 0
-        writeSnapshot(folder, next, state)
-        writeLog(folder, next, LogRecord(listOf(write.toChange().copy(truncateFrom = null))))
+        try {
+            writeSnapshot(folder, next, state)
+            writeLog(folder, next, LogRecord(listOf(write.toChange().copy(truncateFrom = null))))
+        } catch (e: IOException) {
+            // After a failed sync the names may be durable or not, and the member stops.
+            if (e !is DiskError.SyncFailed) deleteAllBut(generation)
+            throw e
+        }
+        // From here on the new generation counts. If its log cannot be opened, the next attempt starts another one.
+        generation = next
+        durableBytes = folder.size(logName(next))
+        isTorn = false
         file.close()
         file = folder.append(logName(next))
-        folder.delete(logName(generation))
-        if (generation > 0) folder.delete(snapshotName(generation))
-        generation = next
+        deleteAllBut(next)
     }
 
+    /** Frees the room that other generations take. What cannot be deleted now is deleted at the next start. */
+    private fun deleteAllBut(current: Long) =
+        try {
+            deleteLeftovers(folder, current)
+        } catch (e: IOException) {
+            log.warn("disk_cleanup_failed", mapOf("folder" to folder.path, "reason" to (e.message ?: e)))
+        }
+
     companion object {
+        private val log = KeyValueLog("store")
+
+        /**
+         * Opens the log as [open] does, and again after each [wait] while the disk refuses what the start has to write.
+         */
+        fun openWhenRoom(
+            folder: () -> Folder,
+            newDiskId: () -> String,
+            wait: () -> Unit,
+        ): StoreDisk {
+            var refusals = 0
+            while (true) {
+                try {
+                    return open(folder(), newDiskId)
+                        .also { if (refusals > 0) log.event("disk_accepts", mapOf("attempts" to refusals)) }
+                } catch (e: DiskError.WriteRefused) {
+                    if (refusals++ == 0) log.warn("disk_refused", mapOf("reason" to e.message, "waiting" to "start"))
+                    wait()
+                }
+            }
+        }
+
         /** Opens the log, or creates one with the identity from [newDiskId]. Throws [DiskError]. */
         fun open(
             folder: Folder,
@@ -128,6 +180,7 @@
             }
             val diskId = if (hasIdentity) readIdentity(folder) else writeIdentity(folder, current, newDiskId())
             deleteLeftovers(folder, current)
+            syncing(folder, "names", 0) { folder.sync() }
             val restored = readLog(folder, current, readSnapshot(folder, current))
             return StoreDisk(folder, lock, diskId, restored, current, folder.append(logName(current)))
         }
--- a/state/src/main/kotlin/samphirechute/state/disk/StoreFiles.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/StoreFiles.kt
@@ -209,7 +209,6 @@
 ) {
     val kept = setOf(LOCK_FILE, IDENTITY_FILE, logName(generation), snapshotName(generation))
     folder.list().filter { it !in kept && isStoreFile(it) }.forEach(folder::delete)
-    folder.sync()
 }
 
 private fun isStoreFile(name: String) =
--- a/state/src/main/kotlin/samphirechute/state/raft/DiskTracker.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/DiskTracker.kt
@@ -12,6 +12,13 @@
     private val pending = ArrayDeque<Pending>()
     private var issued = 0L
 
+    /** True while the disk refuses the oldest write. */
+    var isRefusing = false
+        private set
+
+    /** The size of the entries in writes that are not durable yet. */
+    val pendingBytes get() = pending.sumOf { it.bytes }
+
     val isIdle get() = pending.isEmpty()
     val hasSnapshot get() = pending.any { it.isSnapshot }
     val lastIssued get() = issued
@@ -24,11 +31,16 @@
         nowMs: Long,
         lastIndex: Long,
         isSnapshot: Boolean = false,
+        bytes: Long = 0,
     ): Long {
-        pending += Pending(++issued, nowMs, lastIndex, isSnapshot)
+        pending += Pending(++issued, nowMs, lastIndex, isSnapshot, bytes)
         return issued
     }
 
+    fun refuse() {
+        isRefusing = pending.isNotEmpty()
+    }
+
     /**
      * Returns [output] if no write is pending. Otherwise queues it behind the latest write, and [complete] returns it.
      */
@@ -41,6 +53,7 @@
     /** Marks the writes up to [sequence] as durable and returns the outputs that waited for them. */
     fun complete(sequence: Long): List<RaftOutput> {
         val released = ArrayList<RaftOutput>()
+        isRefusing = false
         while (pending.isNotEmpty() && pending.first().sequence <= sequence) {
             val write = pending.removeFirst()
             durableIndex = write.lastIndex
@@ -71,6 +84,7 @@
         val issuedMs: Long,
         var lastIndex: Long,
         val isSnapshot: Boolean,
+        val bytes: Long,
         val outputs: MutableList<RaftOutput> = ArrayList(),
     )
 
--- a/state/src/main/kotlin/samphirechute/state/raft/Election.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Election.kt
@@ -62,7 +62,8 @@
     }
 
     fun onPreVoteRequest(request: PreVoteRequest) {
-        if (mustIgnoreCandidates()) return
+        // A member whose disk refuses writes could not make its vote durable.
+        if (mustIgnoreCandidates() || member.disk.isRefusing) return
         val isEligible = request.term > member.term && isUpToDate(request.lastTerm, request.lastIndex)
         val isGranted = isEligible && !hasPriorityOver(request)
         // Yield to the other candidate: two simultaneous campaigns would split the votes and waste a round.
--- a/state/src/main/kotlin/samphirechute/state/raft/Follower.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Follower.kt
@@ -25,6 +25,8 @@
         resetForTerm(request.term)
         lastEchoMs = request.sentMs
         val log = member.log
+        val isOverfull = member.disk.isRefusing && member.disk.pendingBytes > member.timings.maxRefusedBytes
+        if (isOverfull && request.entries.isNotEmpty()) return
         // Entries covered by the snapshot are committed, so they match the leader's log.
         val isCovered = request.prevIndex < log.baseIndex
         if (!isCovered && log.termAt(request.prevIndex) != request.prevTerm) {
@@ -41,8 +43,7 @@
         lastEchoMs = request.sentMs
         if (request.lastIndex <= member.commitIndex) {
             incoming = null
-            acknowledge(request, request.partNumber + 1)
-            return
+            return confirmWhenDurable(request, request.partNumber + 1)
         }
         val id = Triple(request.term, request.lastIndex, request.from)
         val current = incoming?.takeIf { it.id == id } ?: IncomingSnapshot(id).also { incoming = it }
@@ -53,9 +54,10 @@
                 incoming = null
                 member.installSnapshot(current.state)
                 matchIndex = maxOf(matchIndex, request.lastIndex)
+                return confirmWhenDurable(request, current.nextPart)
             }
         }
-        acknowledge(request, current.nextPart)
+        member.emit(replyToPart(request, current.nextPart))
     }
 
     /** Acknowledges further entries to the leader once they are durable. */
@@ -111,14 +113,26 @@
         member.send(to.instance, reply)
     }
 
-    /** Confirms the parts received. The last part is confirmed only when the whole snapshot is durable. */
-    private fun acknowledge(
+    /**
+     * Confirms the last part once the whole snapshot is durable. Until then, an answer that asks for it again keeps the
+     * leader from taking a member whose disk is full for one that is gone.
+     */
+    private fun confirmWhenDurable(
         request: SnapshotRequest,
         nextPart: Int,
-    ) = member.sendWhenDurable(
-        request.from.instance,
-        SnapshotReply(member.identity, member.term, request.lastIndex, nextPart, request.sentMs, member.wallMs),
-    )
+    ) {
+        if (!member.disk.isIdle) member.emit(replyToPart(request, nextPart - 1))
+        member.disk.whenDurable(replyToPart(request, nextPart))?.let(member::emit)
+    }
+
+    private fun replyToPart(
+        request: SnapshotRequest,
+        nextPart: Int,
+    ): RaftOutput.Send {
+        val reply =
+            SnapshotReply(member.identity, member.term, request.lastIndex, nextPart, request.sentMs, member.wallMs)
+        return RaftOutput.Send(request.from.instance, reply)
+    }
 
     private class IncomingSnapshot(
         val id: Triple<Long, Long, DiskIdentity>,
--- a/state/src/main/kotlin/samphirechute/state/raft/Member.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Member.kt
@@ -110,7 +110,8 @@
         val entries = log.slice(writtenIndex + 1)
         if (entries.isEmpty() && truncateFrom == null) return
         writtenIndex = log.lastIndex
-        val sequence = disk.issue(nowMs, writtenIndex)
+        val bytes = entries.sumOf { it.approximateBytes().toLong() }
+        val sequence = disk.issue(nowMs, writtenIndex, bytes = bytes)
         emit(RaftOutput.Write(DiskWrite(sequence, truncateFrom = truncateFrom, entries = entries)))
     }
 
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftInput.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftInput.kt
@@ -24,6 +24,9 @@
         val sequence: Long,
     ) : RaftInput()
 
+    /** The disk refuses the oldest write for now, for example because it is full. It is tried again until it is done. */
+    data object DiskRefused : RaftInput()
+
     /** A write failed. The member stops, because the contents of its disk are now unknown. */
     data class DiskFailed(
         val reason: String,
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -101,6 +101,7 @@
             is RaftInput.ConfirmRead -> confirmRead(input.token)
             is RaftInput.Received -> handleMessage(input.message)
             is RaftInput.DiskDone -> handleDiskDone(input.sequence)
+            is RaftInput.DiskRefused -> handleDiskRefused()
             is RaftInput.DiskFailed -> fail(input.reason)
             is RaftInput.Tick -> tick(input.wallMs)
         }
@@ -206,6 +207,12 @@
         advanceCommit(current)
     }
 
+    /** Leads no longer, since new entries wait for the own disk; another member is elected, as this one does not vote. */
+    private fun handleDiskRefused() {
+        member.disk.refuse()
+        stepDown()
+    }
+
     private fun handleDiskDone(sequence: Long) {
         member.disk.complete(sequence).forEach(member::emit)
         election.onDiskDone(sequence)
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
@@ -25,6 +25,11 @@
      * A leader whose write takes longer than this steps down, because its followers cannot detect that its disk hangs.
      */
     val diskStallMs: Long = 1_000,
+    /**
+     * A follower whose disk refuses writes takes no more entries while those that wait for it are larger than this, so
+     * that a disk that stays full does not fill the memory. The leader sends them again with its heartbeats.
+     */
+    val maxRefusedBytes: Long = 16L * 1024 * 1024,
     /** The interval between hello messages of a member that is not a voter. */
     val helloIntervalMs: Long = 200,
     /** Longer for a voter without a leader, because it also sends the messages of elections. */
--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
@@ -19,6 +19,8 @@
 
     /** The operation to fail, such as `sync`, and how many of its calls succeed before. */
     var failing: Pair<String, Int>? = null
+
+    @Volatile
     var freeBytes = Long.MAX_VALUE
     val operations = mutableListOf<String>()
     override val path = "memory"
@@ -44,6 +46,12 @@
                 if (writable < bytes.size) throw IOException("No space left on device")
             }
 
+            override fun truncate(length: Long) {
+                recordOrFail("truncate")
+                content.bytes = content.bytes.copyOf(length.toInt())
+                check(content.durableLength <= length) { "durable bytes are cut off" }
+            }
+
             override fun sync() {
                 recordOrFail("sync")
                 content.durableLength = content.bytes.size
