Add a soak of planned stops with kept connections and upstreams that answer twice

bin/bench stops checks every answer against the record of the upstreams. The clock of a run, the faults of processes and the announcements move to bench/system, where the soak of limits uses the same types.

--- a/bench/src/main/kotlin/samphirechute/bench/Main.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/Main.kt
@@ -18,6 +18,7 @@
 import samphirechute.bench.routing.MixBench
 import samphirechute.bench.routing.OverloadBench
 import samphirechute.bench.routing.PlaceBench
+import samphirechute.bench.stops.StopsBench
 import samphirechute.bench.store.Claims
 import samphirechute.bench.store.Recover
 import samphirechute.bench.sync.MembersBench
@@ -43,8 +44,12 @@
         "place" to ::PlaceBench,
         "publish" to ::PublishBench,
         "recover" to { Bench { seed, _ -> Recover.run(seed, ::println) } },
+        "stops" to { Bench { seed, _ -> StopsBench(arguments.seconds).run(seed) } },
     )
 
+/** The benches that last as long as `--seconds` says. */
+private val TIMED = setOf("limits", "stops")
+
 private class BenchArguments {
     @Argument(metaVar = "NAME", required = true, usage = "the bench to run")
     var name = ""
@@ -59,7 +64,7 @@
     )
     var old: String? = null
 
-    @Option(name = "--seconds", metaVar = "S", usage = "of limits: how long the run lasts (default 60)")
+    @Option(name = "--seconds", metaVar = "S", usage = "of limits and stops: how long the run lasts (default 60)")
     var seconds = 60L
 }
 
@@ -73,7 +78,7 @@
     }
     val bench = benches(arguments)[arguments.name] ?: fail(parser, "unknown bench \"${arguments.name}\"")
     val old = arguments.old?.let { " --old $it" }.orEmpty()
-    val seconds = if (arguments.name == "limits") " --seconds ${arguments.seconds}" else ""
+    val seconds = if (arguments.name in TIMED) " --seconds ${arguments.seconds}" else ""
     println("# bin/bench ${arguments.name}$old --seed ${arguments.seed}$seconds")
     bench().run(arguments.seed, Figures())
 }
--- a/bench/src/main/kotlin/samphirechute/bench/limits/Callers.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/limits/Callers.kt
@@ -1,6 +1,7 @@
 package samphirechute.bench.limits
 
 import samphirechute.bench.system.PlatformProcesses
+import samphirechute.bench.system.RunClock
 import samphirechute.bench.system.pause
 import samphirechute.platform.PlatformHeaders
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -9,17 +10,6 @@
 import kotlin.math.ln
 import kotlin.random.Random
 
-/** The time since the run began. */
-internal class RunClock {
-    @Volatile private var startNs = System.nanoTime()
-
-    fun nowMs() = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs)
-
-    fun restart() {
-        startNs = System.nanoTime()
-    }
-}
-
 /** How a request ended; [status] is 0 if no answer came. */
 internal class CallResult(
     val id: String,
--- a/bench/src/main/kotlin/samphirechute/bench/limits/LimitedUpstream.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/limits/LimitedUpstream.kt
@@ -2,6 +2,7 @@
 
 import com.sun.net.httpserver.Headers
 import samphirechute.bench.system.PlatformUpstream
+import samphirechute.bench.system.RunClock
 import samphirechute.bench.system.UpstreamObserver
 import samphirechute.bench.system.UpstreamPlace
 import samphirechute.bench.system.pause
--- a/bench/src/main/kotlin/samphirechute/bench/limits/LimitsBench.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/limits/LimitsBench.kt
@@ -2,6 +2,7 @@
 
 import samphirechute.bench.process.ProcessCluster
 import samphirechute.bench.system.Build
+import samphirechute.bench.system.RunClock
 import samphirechute.bench.system.Workspace
 import java.nio.file.Files
 import kotlin.io.path.writeText
--- a/bench/src/main/kotlin/samphirechute/bench/limits/LimitsReport.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/limits/LimitsReport.kt
@@ -1,5 +1,6 @@
 package samphirechute.bench.limits
 
+import samphirechute.bench.system.Fault
 import java.util.Locale
 
 /** Checks the promises on what a run recorded, and prints a line for each that was broken and a summary. */
--- a/bench/src/main/kotlin/samphirechute/bench/limits/LimitsSystem.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/limits/LimitsSystem.kt
@@ -2,9 +2,9 @@
 
 import samphirechute.bench.system.Build
 import samphirechute.bench.system.PlatformProcesses
+import samphirechute.bench.system.RunClock
 import samphirechute.bench.system.UpstreamPlace
 import samphirechute.bench.system.Workspace
-import samphirechute.bench.system.await
 
 /** Control and entry instances with upstreams of one plain service, spread over the failure domains. */
 internal class LimitsSystem(
@@ -21,11 +21,7 @@
     /** Waits until all entry instances serve. */
     fun awaitReady() {
         putConfig(0, CONFIG.replace("ROUTES", routes()))
-        for (entry in entries.indices) {
-            await("status $OK of ${entries[entry].name}", CHANGE_MS) {
-                send(entry, "/check/x").takeIf { it.status != OK }?.toString()
-            }
-        }
+        awaitServing("/check/x")
     }
 
     override fun close() {
--- a/bench/src/main/kotlin/samphirechute/bench/system/PlatformProcesses.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/PlatformProcesses.kt
@@ -6,6 +6,7 @@
 import samphirechute.platform.ControlApi
 import samphirechute.platform.PlatformHeaders
 import samphirechute.platform.SETTINGS_VARIABLE
+import java.net.InetSocketAddress
 import java.nio.file.Path
 import kotlin.io.path.readText
 import kotlin.io.path.writeText
@@ -135,6 +136,21 @@
         ),
     )
 
+    /** Where an entry instance takes requests. */
+    fun requestAddress(entry: Int) = InetSocketAddress(front, entryPorts[entry][0])
+
+    /** Where an entry instance says whether it is ready. */
+    fun readyAddress(entry: Int) = InetSocketAddress(front, entryPorts[entry][1])
+
+    /** Waits until all entry instances serve. */
+    protected fun awaitServing(path: String) {
+        for (entry in entries.indices) {
+            await("status $OK of ${entries[entry].name}", CHANGE_MS) {
+                send(entry, path).takeIf { it.status != OK }?.toString()
+            }
+        }
+    }
+
     /** The term in which an instance leads by its own log, or -1. */
     private fun ledTerm(control: Child): Long {
         val last = control.log().lastOrNull { "event=leadership_" in it } ?: return -1
@@ -146,7 +162,8 @@
         name: String,
         kind: String,
         service: String,
-    ) = """{"name":"$name","host":"$front","path_prefix":"/$name/","kind":"$kind","timeout_ms":$DEADLINE_MS,""" +
+        timeoutMs: Long = DEADLINE_MS,
+    ) = """{"name":"$name","host":"$front","path_prefix":"/$name/","kind":"$kind","timeout_ms":$timeoutMs,""" +
         """"target_latency_ms":300,"priority":1,"service":"$service","max_attempts":2,"public":false,""" +
         """"resumable":${kind == "streaming"},"target_gap_ms":200}"""
 
--- a/bench/src/main/kotlin/samphirechute/bench/system/PlatformUpstream.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/PlatformUpstream.kt
@@ -3,12 +3,10 @@
 import com.sun.net.httpserver.Headers
 import com.sun.net.httpserver.HttpExchange
 import com.sun.net.httpserver.HttpServer
-import samphirechute.platform.ControlApi
 import samphirechute.platform.PlatformHeaders
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
-import java.util.concurrent.TimeUnit
 
 /** Where an upstream of the platform stands. */
 internal class UpstreamPlace(
@@ -34,45 +32,38 @@
  */
 internal class PlatformUpstream(
     private val place: UpstreamPlace,
-    private val controls: List<String>,
+    controls: List<String>,
     announceMs: Long = ANNOUNCE_MS,
     private val observer: UpstreamObserver = UpstreamObserver { _, _, _ -> {} },
 ) : AutoCloseable {
     private val workers = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
-    private val announcing = Executors.newSingleThreadScheduledExecutor { Thread(it).apply { isDaemon = true } }
+    private val announcer = Announcer(place, controls, announceMs)
 
-    @Volatile private var life = Life(0)
+    @Volatile private var server = listen(0)
 
     /** How often each order ran. */
     val executions = ConcurrentHashMap<String, Int>()
 
-    init {
-        announcing.scheduleWithFixedDelay(::announce, 0, announceMs, TimeUnit.MILLISECONDS)
-    }
-
     /** Ends this life, which cuts the requests that run, and begins another one at the same address after [downMs]. */
     fun restart(downMs: Long) {
-        life.server.stop(0)
+        server.stop(0)
         pause(downMs)
-        life = Life(life.port)
-        announcing.execute(::announce)
+        server = listen(server.address.port)
     }
 
     override fun close() {
-        announcing.shutdownNow()
-        life.server.stop(0)
+        announcer.close()
+        server.stop(0)
         workers.shutdownNow()
     }
 
-    /** A control instance that is down or refuses is passed over until the next turn. */
-    private fun announce() {
-        val announced = life
-        val record = announced.nextRecord()
-        controls.indices.any { turn ->
-            val control = controls[(announced.sequence + turn) % controls.size]
-            runCatching { Http.call(control, "PUT", ControlApi.INSTANCES + place.id, record).status }
-                .getOrNull() == OK
-        }
+    private fun listen(port: Int): HttpServer {
+        val server = HttpServer.create(InetSocketAddress(place.ip, port), 0)
+        server.executor = workers
+        server.createContext("/") { exchange -> exchange.use(::serve) }
+        server.start()
+        announcer.beginLife(server.address.port)
+        return server
     }
 
     private fun serve(exchange: HttpExchange) {
@@ -105,27 +96,6 @@
         }
     }
 
-    /** The time from one start to the next end. */
-    private inner class Life(
-        port: Int,
-    ) {
-        private val bornMs = System.currentTimeMillis()
-        var sequence = 0
-            private set
-        val server: HttpServer = HttpServer.create(InetSocketAddress(place.ip, port), 0)
-        val port get() = server.address.port
-
-        init {
-            server.executor = workers
-            server.createContext("/") { exchange -> exchange.use(::serve) }
-            server.start()
-        }
-
-        fun nextRecord() =
-            """{"service":"${place.service}","address":"${place.ip}:$port","zone":"${place.zone}","version":"v1",""" +
-                """"slots":16,"state":"ready","cold_remaining_ms":0,"sequence":${++sequence},"born":$bornMs}"""
-    }
-
     companion object {
         private const val OK = 200
         private const val ANNOUNCE_MS = 400L
