--- a/bench/src/main/kotlin/samphirechute/bench/stops/StopsReport.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/StopsReport.kt
@@ -37,6 +37,7 @@
                 calls.filter { checks.cut(it) != null },
             ) { "${Work.of(it.path).route.path}_${checks.cut(it)}".lowercase() }}",
         )
+        println("answered_past_deadline_from_first_byte=${calls.count(::isPastDeadline)}")
         val inStops = calls.mapNotNull { call -> records.stopBefore(call)?.let { call.sentMs - it.atMs to call } }
         val taken = inStops.filter { (afterMs, _) -> afterMs in 0 until Checks.GRACE_MS }
         println(
@@ -63,6 +64,10 @@
 
     private val Call.isServed get() = end == CallEnd.WHOLE && status == OK
 
+    /** The instances count the deadline from the last byte of a request, callers may count it from the first. */
+    private fun isPastDeadline(call: Call) =
+        call.lastByteMs != null && (call.headMs ?: call.endMs) > call.sentMs + call.deadlineMs + KeptConnections.HELD_MS
+
     private fun status(call: Call) = "${call.status}${if (call.signature == null) "" else "_of_upstream"}"
 
     private fun <T> counts(
