--- a/bench/src/main/kotlin/samphirechute/bench/stops/Stutter.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/Stutter.kt
@@ -11,24 +11,28 @@
     val isBeforeNext: Boolean,
     private val delayMs: Long,
     private val gapMs: Long?,
+    /** How much of the copy is written, in thousandths; the rest never comes. */
+    private val permille: Int = WHOLE,
 ) {
     fun write(
         copy: ByteArray,
         output: OutputStream,
     ) {
         Thread.sleep(if (isBeforeNext) 0 else delayMs)
-        val cut = if (gapMs == null) copy.size else copy.size / 2
+        val count = copy.size * permille / WHOLE
+        val cut = if (gapMs == null) count else count / 2
         output.write(copy, 0, cut)
         output.flush()
         if (gapMs == null) return
         Thread.sleep(gapMs)
-        output.write(copy, cut, copy.size - cut)
+        output.write(copy, cut, count - cut)
         output.flush()
     }
 
     override fun toString() =
         (if (isBeforeNext) "before_next" else "after_$delayMs") + "_gap_${gapMs ?: 0}" +
-            (status?.let { "_as_$it" }.orEmpty())
+            (status?.let { "_as_$it" }.orEmpty()) +
+            (if (permille < WHOLE) "_broken_off" else "")
 
     companion object {
         /** Whether and how the answer with [status] is written twice. */
@@ -44,6 +48,7 @@
                 random.nextBoolean(),
                 DELAYS_MS.random(random),
                 if (random.nextBoolean()) random.nextLong(MAX_GAP_MS + 1) else null,
+                if (random.nextInt(BROKEN_OFF_OF) == 0) random.nextInt(WHOLE) else WHOLE,
             )
         }
 
@@ -52,6 +57,8 @@
         private const val FAILURE = 500
         private const val OTHER_STATUS_OF = 3
         private val DELAYS_MS = listOf(0L, 0L, 20L, 300L)
+        private const val WHOLE = 1_000
+        private const val BROKEN_OFF_OF = 6
         private const val MAX_GAP_MS = 40L
     }
 }
