End a call whose head is that of two answers

What callers saw: a success with the upstream's signature where the upstream had answered 500. Cause: an upstream that answers twice broke the second answer off in its head. The decoder joined it with the next answer on the connection: the status of the copy, the identifier and the signature of the next. Change: a head with a status line in its reason or in a field is malformed; the call ends as lost and the connection is closed. Whether the users' upstreams broke off their second answers is not in their record.

--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -44,18 +44,11 @@
         message: HttpObject,
     ) {
         val current = call
-        if (current == null || message.decoderResult().isFailure) {
+        val defect = defectOf(message)
+        if (current == null || defect != null) {
             call = null
             context.close()
-            current?.fail(
-                ClientFailure.Malformed(
-                    message
-                        .decoderResult()
-                        .cause()
-                        ?.message
-                        .orEmpty(),
-                ),
-            )
+            current?.fail(ClientFailure.Malformed(defect.orEmpty()))
             return
         }
         if (message is HttpResponse) isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
@@ -75,6 +68,26 @@
         if (message is LastHttpContent && call === current) completeCall(context, current)
     }
 
+    /** Returns what is wrong with a part of a response; null if nothing is. */
+    private fun defectOf(message: HttpObject): String? =
+        when {
+            message.decoderResult().isFailure -> {
+                message
+                    .decoderResult()
+                    .cause()
+                    ?.message
+                    .orEmpty()
+            }
+
+            message is HttpResponse && BrokenHead.isFoundIn(message) -> {
+                "the head was broken off and continued by another response"
+            }
+
+            else -> {
+                null
+            }
+        }
+
     private fun receiveHead(
         current: ActiveCall,
         message: HttpResponse,
