Use a new connection for a second sending to the same address

What callers saw: 503, a promise that the request had not run, where it had run at the second sending. Cause: an upstream that starts at the address of another one is no excluded upstream. The second sending took the connection of the first, on which a late copy of the first answer has the request's identifier. Change: the relay remembers the addresses of its sendings, and a second one to the same address opens a connection. Others are reused as before.

--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -87,11 +87,16 @@
     var leavingBornMs: Long? = null
         private set
 
-    /** Sends the request. With [mustRunOnce] it reuses only connections that were idle for a short time. */
+    /**
+     * Sends the request. With [mustRunOnce] it reuses only connections that were idle for a short time. If it [isSentBefore]
+     * to this address, it uses a new connection: on the earlier one, a late copy of the first answer has the same
+     * identifier as the answer to this sending.
+     */
     fun start(
         address: HostPort,
         dispatch: Dispatch,
         mustRunOnce: Boolean,
+        isSentBefore: Boolean,
     ) {
         val outgoing =
             ClientRequest(
@@ -100,6 +105,7 @@
                 request.uri,
                 request.body,
                 relayedHeaders = context.protocol.upstreamHeaders(request, dispatch),
+                useFreshConnection = isSentBefore,
                 maxIdleMs = if (mustRunOnce) ONCE_IDLE_MS else IDLE_MS,
                 isExpectedResponse = { context.protocol.readAnswer(it).requestId == requestId },
                 label = requestId.value,
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -1,5 +1,6 @@
 package samphirechute.serving.relay
 
+import samphirechute.core.HostPort
 import samphirechute.core.RequestTrait
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
@@ -43,6 +44,9 @@
     private val untilMs = arrivedMs + min(caller.deadlineMs ?: Long.MAX_VALUE / 4, route.timeoutMs)
     private val isRepeatable = route.repeatability == Repeatability.REPEATABLE
     private val excluded = LinkedHashSet<UpstreamId>()
+
+    /** The addresses of the sendings; a restarted upstream has the address under another identifier. */
+    private val addresses = HashSet<HostPort>()
     private val timeout: Subscription = context.timer.after(remainingMs()) { onTimeout() }
     private var attempt: Attempt? = null
     private var memory: MemoryHold? = null
@@ -284,7 +288,8 @@
             return onAttemptEnded(next, AttemptResult.NotRun("no_memory", isGone = false, isConnected = true))
         }
         val dispatch = Dispatch(granted.upstream, hold.helpers, remainingMs(), accepted.team?.name, lastEventId)
-        next.start(granted.address, dispatch, mustRunOnce = !isRepeatable)
+        val isSentBefore = !addresses.add(granted.address)
+        next.start(granted.address, dispatch, mustRunOnce = !isRepeatable, isSentBefore)
     }
 
     /**
