--- a/bench/src/main/kotlin/samphirechute/bench/stops/StopsUpstream.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/StopsUpstream.kt
@@ -214,7 +214,7 @@
                 } + LAST_CHUNK
 
             private fun head(status: Int) =
-                "HTTP/1.1 $status Status\r\n${PlatformHeaders.REQUEST_ID}: $id\r\n" +
+                "HTTP/1.1 $status Status\r\nServer: stand-in-${place.id}\r\n${PlatformHeaders.REQUEST_ID}: $id\r\n" +
                     "${PlatformHeaders.SIGNATURE}: $signature\r\n" +
                     if (status == REFUSED) "${PlatformHeaders.NOT_EXECUTED}: 1\r\n" else ""
         }
--- a/bench/src/main/kotlin/samphirechute/bench/stops/Stutter.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/Stutter.kt
@@ -11,15 +11,15 @@
     val isBeforeNext: Boolean,
     private val delayMs: Long,
     private val gapMs: Long?,
-    /** How much of the copy is written, in thousandths; the rest never comes. */
-    private val permille: Int = WHOLE,
+    /** How much of the copy is written; the rest never comes. */
+    private val brokenOffAfterBytes: Int? = null,
 ) {
     fun write(
         copy: ByteArray,
         output: OutputStream,
     ) {
         Thread.sleep(if (isBeforeNext) 0 else delayMs)
-        val count = copy.size * permille / WHOLE
+        val count = minOf(copy.size, brokenOffAfterBytes ?: copy.size)
         val cut = if (gapMs == null) count else count / 2
         output.write(copy, 0, cut)
         output.flush()
@@ -32,7 +32,7 @@
     override fun toString() =
         (if (isBeforeNext) "before_next" else "after_$delayMs") + "_gap_${gapMs ?: 0}" +
             (status?.let { "_as_$it" }.orEmpty()) +
-            (if (permille < WHOLE) "_broken_off" else "")
+            brokenOffAfterBytes?.let { "_broken_off_$it" }.orEmpty()
 
     companion object {
         /** Whether and how the answer with [status] is written twice. */
@@ -48,7 +48,7 @@
                 random.nextBoolean(),
                 DELAYS_MS.random(random),
                 if (random.nextBoolean()) random.nextLong(MAX_GAP_MS + 1) else null,
-                if (random.nextInt(BROKEN_OFF_OF) == 0) random.nextInt(WHOLE) else WHOLE,
+                BROKEN_OFF_BYTES.random(random).let(random::nextInt).takeIf { random.nextInt(BROKEN_OFF_OF) == 0 },
             )
         }
 
@@ -57,7 +57,9 @@
         private const val FAILURE = 500
         private const val OTHER_STATUS_OF = 3
         private val DELAYS_MS = listOf(0L, 0L, 20L, 300L)
-        private const val WHOLE = 1_000
+
+        /** The first is within the head, which then continues with the first line of the next answer. */
+        private val BROKEN_OFF_BYTES = listOf(60, 4_000)
         private const val BROKEN_OFF_OF = 6
         private const val MAX_GAP_MS = 40L
     }
