--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -78,6 +78,9 @@
 
     val runningRequests: Int get() = requestHandler.running
 
+    /** The number of requests that wait for the first configuration. */
+    val heldRequests: Int get() = requestHandler.heldRequests
+
     /** The number of known upstreams that have not left. */
     val knownUpstreams: Int get() = table.all().count { it.state != UpstreamState.GONE }
 
@@ -105,7 +108,7 @@
         log.event("entry_leaving", mapOf("running" to runningRequests, "limit_ms" to limitMs))
     }
 
-    /** Answers all requests that are still running, because the process ends now. */
+    /** Answers all requests that are still running or held, and each that arrives from now on: the process ends now. */
     fun endAll() = requestHandler.endAll()
 
     /**
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
@@ -3,11 +3,9 @@
 import samphirechute.core.RequestTrait
 import samphirechute.core.time.Subscription
 import samphirechute.net.Exchange
-import samphirechute.serving.cluster.Repeatability
 import samphirechute.serving.cluster.Route
 import samphirechute.serving.cluster.ServingConfig
 import samphirechute.serving.cluster.Team
-import kotlin.math.min
 import kotlin.random.Random
 
 /**
@@ -33,15 +31,19 @@
 
     private val relays = LinkedHashSet<Relay>()
 
-    /** When the process ends, or null while it does not stop. */
-    private var stopsAtMs: Long? = null
+    private val stopAdmission = StopAdmission()
+    private var hasEnded = false
 
     /** The number of accepted requests without a final answer. */
     val running: Int get() = relays.size
 
+    /** The number of requests that wait for the first configuration. */
+    val heldRequests: Int get() = held.size
+
     /** Puts a configuration into use and handles the held requests. */
     fun applyConfig(config: ServingConfig) {
         table = RouteTable(config)
+        stopAdmission.retain(config.routes.mapTo(HashSet()) { it.name })
         val waiting = held.toMap()
         held.clear()
         waiting.forEach { (exchange, heldRequest) ->
@@ -52,23 +54,31 @@
 
     fun handle(exchange: Exchange) = handle(exchange, timer.nowMs())
 
+    /** From now on refuses requests that cannot end before [stopsAtMs], see [StopAdmission]. */
+    fun beginStop(stopsAtMs: Long) = stopAdmission.begin(timer.nowMs(), stopsAtMs)
+
     /**
-     * From now on refuses requests that cannot end before [stopsAtMs]: one that may run only once needs all the time that
-     * it may take, a stream [STREAM_TIME_MS] and any other [REPEATABLE_TIME_MS].
+     * Answers all requests that are still running or held, because the process ends now, and from now on refuses each that
+     * arrives.
      */
-    fun beginStop(stopsAtMs: Long) {
-        this.stopsAtMs = stopsAtMs
+    fun endAll() {
+        hasEnded = true
+        relays.toList().forEach { it.endWithProcess(stopAdmission::isLate) }
+        val waiting = held.toMap()
+        held.clear()
+        waiting.forEach { (exchange, heldRequest) ->
+            heldRequest.timeout.cancel()
+            refuse(exchange, context.protocol.read(exchange.request), Refusal.Stopping)
+        }
     }
 
-    /** Answers all requests that are still running, because the process ends now. */
-    fun endAll() = relays.toList().forEach { it.endWithProcess() }
-
     private fun handle(
         exchange: Exchange,
         arrivedMs: Long,
     ) {
         val request = exchange.request
         val caller = context.protocol.read(request)
+        if (hasEnded) return refuse(exchange, caller, Refusal.Stopping)
         val current = table ?: return hold(exchange, caller, arrivedMs)
         val route = current.find(caller.host, request.path) ?: return refuse(exchange, caller, Refusal.NoRoute)
         if (caller.id == null) return refuse(exchange, caller, Refusal.MissingId)
@@ -76,28 +86,37 @@
         if (team == null && requiresKey(current.config, route.isPublic)) {
             return refuse(exchange, caller, Refusal.UnknownKey)
         }
-        if (!canEndInTime(route, caller, arrivedMs)) return refuse(exchange, caller, Refusal.Stopping)
+        if (!canEndInTime(route, caller)) return refuse(exchange, caller, Refusal.Stopping)
         val whole = wholeRequestTrait(request, caller.host, team?.name, caller.key)
         val accepted = accept(current, route, team, whole, caller.sharedParts)
-        val relay = Relay(context, exchange, caller, accepted, arrivedMs) { relays -= it }
+        val relay = Relay(context, exchange, caller, accepted, arrivedMs, ::onEnd)
         relays += relay
         relay.start()
     }
 
+    /** Returns whether the request can end before the process does, and logs that if the process stops. */
     private fun canEndInTime(
         route: Route,
         caller: CallerRequest,
-        arrivedMs: Long,
     ): Boolean {
-        val leftMs = (stopsAtMs ?: return true) - arrivedMs
-        val longestMs = min(caller.deadlineMs ?: Long.MAX_VALUE, route.timeoutMs)
-        val usualMs =
-            when {
-                route.isStream -> STREAM_TIME_MS
-                route.repeatability == Repeatability.REPEATABLE -> REPEATABLE_TIME_MS
-                else -> longestMs
-            }
-        return leftMs >= min(longestMs, usualMs)
+        val decision = stopAdmission.decide(route, caller.deadlineMs, timer.nowMs()) ?: return true
+        context.log.event(
+            if (decision.isAdmitted) "stop_admitted" else "stop_refused",
+            mapOf(
+                "request" to caller.id,
+                "route" to route.name,
+                "left_ms" to decision.leftMs,
+                "needed_ms" to decision.neededMs,
+                "basis" to decision.basis.name.lowercase(),
+                "stop_age_ms" to decision.stopAgeMs,
+            ),
+        )
+        return decision.isAdmitted
+    }
+
+    private fun onEnd(relay: Relay) {
+        relays -= relay
+        relay.wholeAfterMs?.let { stopAdmission.record(relay.route, it) }
     }
 
     private fun hold(
@@ -166,11 +185,6 @@
         /** When all instances start together, they elect a leader and receive the configuration within this time. */
         const val STARTING_MS = 2_000L
 
-        /** Most streams end within this time. One that does not is cut, and its caller has to ask again. */
-        const val STREAM_TIME_MS = 4_000L
-
-        /** Most repeatable requests end within this time, and one that does not can run again elsewhere. */
-        const val REPEATABLE_TIME_MS = 1_500L
         const val MAX_HELD = 64
     }
 }
--- a/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
@@ -22,6 +22,7 @@
     private val root: Path,
 ) : Folder {
     override val path: String get() = root.toString()
+    override val usableBytes: Long get() = root.toFile().usableSpace
 
     init {
         Files.createDirectories(root)
@@ -78,6 +79,10 @@
         while (buffer.hasRemaining()) channel.write(buffer)
     }
 
+    override fun truncate(length: Long) {
+        channel.truncate(length)
+    }
+
     override fun sync() = channel.force(true)
 
     override fun close() = channel.close()
--- a/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
@@ -1,14 +1,9 @@
 package samphirechute.state.disk
 
-import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
+import samphirechute.core.log.KeyValueLog
 import samphirechute.state.raft.DiskWrite
 import samphirechute.state.raft.RestoredLog
-import samphirechute.state.store.SnapshotPart
 import samphirechute.state.store.StoreState
-import samphirechute.state.store.plus
-import samphirechute.state.store.snapshotParts
 import java.io.IOException
 
 /**
@@ -18,8 +13,9 @@
  * the next generation and then deletes the previous one, so there are never more than two. `identity` contains the disk
  * identity, and `lock` prevents a second process from opening the folder.
  *
- * After any error no further write is accepted, because a failed sync may have dropped data that a later sync would
- * report as durable.
+ * A write that the disk refuses, for example for lack of room, loses nothing that was confirmed: the log is cut back to
+ * what is durable before the same writes are tried again. After a failed sync no further write is accepted, because data
+ * that it covered may be lost although a later sync reports it as durable.
  */
 class StoreDisk private constructor(
     private val folder: Folder,
@@ -33,24 +29,37 @@
 ) : AutoCloseable {
     private var failure: DiskError? = null
 
-    /** Makes all of [writes] durable, in order. Throws [DiskError]; every later call then throws the same error. */
+    /** What is being written, for the error. */
+    private var step = ""
+    private var stepBytes = 0L
+
+    /** The length of the log up to which everything is durable. */
+    private var durableBytes = folder.size(logName(generation))
+
+    /** True when bytes of a refused write may follow, which no valid record may follow. */
+    private var isTorn = false
+
+    /** Makes all of [writes] durable, in order. Throws [DiskError], as [writeNext] does. */
     fun write(writes: List<DiskWrite>) {
+        var written = 0
+        while (written < writes.size) written += writeNext(writes.subList(written, writes.size))
+    }
+
+    /**
+     * Makes the first of [writes] durable, up to the next snapshot, and returns how many these were. After a
+     * [DiskError.WriteRefused] none of them is, and the next call must begin with the same writes. Any other [DiskError]
+     * is final: every later call throws the same error.
+     */
+    fun writeNext(writes: List<DiskWrite>): Int {
         failure?.let { throw it }
+        val group = writes.takeWhile { it.snapshot == null }
         try {
-            var group = ArrayList<DiskWrite>()
-            for (write in writes) {
-                if (write.snapshot == null) {
-                    group += write
-                } else {
-                    append(group)
-                    group = ArrayList()
-                    startGeneration(write.snapshot, write)
-                }
-            }
-            append(group)
+            val snapshot = writes.first().snapshot
+            if (snapshot == null) append(group) else startGeneration(snapshot, writes.first())
+            return maxOf(1, group.size)
         } catch (e: IOException) {
-            val error = e as? DiskError ?: DiskError.WriteFailed(folder.path, e)
-            failure = error
+            val error = e as? DiskError ?: DiskError.WriteRefused(folder.path, folder.step(step, stepBytes), e)
+            if (error !is DiskError.WriteRefused) failure = error
             throw error
         }
     }
@@ -64,9 +73,15 @@
     }
 
     private fun append(group: List<DiskWrite>) {
-        if (group.isEmpty()) return
-        file.append(encode(LogRecord.serializer(), LogRecord(group.map { it.toChange() })))
-        file.sync()
+        val record = encode(LogRecord.serializer(), LogRecord(group.map { it.toChange() }))
+        step = "append"
+        stepBytes = record.size.toLong()
+        if (isTorn) file.truncate(durableBytes)
+        isTorn = true
+        file.append(record)
+        syncing(folder, step, stepBytes) { file.sync() }
+        isTorn = false
+        durableBytes += record.size
     }
 
     /**
@@ -78,16 +93,56 @@
         write: DiskWrite,
     ) {
         val next = generation + 1
-        writeSnapshot(folder, next, state)
-        writeLog(folder, next, LogRecord(listOf(write.toChange().copy(truncateFrom = null))))
+        step = "snapshot $next"
+        stepBytes = 0
+        try {
+            writeSnapshot(folder, next, state)
+            writeLog(folder, next, LogRecord(listOf(write.toChange().copy(truncateFrom = null))))
+        } catch (e: IOException) {
+            // After a failed sync the names may be durable or not, and the member stops.
+            if (e !is DiskError.SyncFailed) deleteAllBut(generation)
+            throw e
+        }
+        // From here on the new generation counts. If its log cannot be opened, the next attempt starts another one.
+        generation = next
+        durableBytes = folder.size(logName(next))
+        isTorn = false
         file.close()
         file = folder.append(logName(next))
-        folder.delete(logName(generation))
-        if (generation > 0) folder.delete(snapshotName(generation))
-        generation = next
+        deleteAllBut(next)
     }
 
+    /** Frees the room that other generations take. What cannot be deleted now is deleted at the next start. */
+    private fun deleteAllBut(current: Long) =
+        try {
+            deleteLeftovers(folder, current)
+        } catch (e: IOException) {
+            log.warn("disk_cleanup_failed", mapOf("folder" to folder.path, "reason" to (e.message ?: e)))
+        }
+
     companion object {
+        private val log = KeyValueLog("store")
+
+        /**
+         * Opens the log as [open] does, and again after each [wait] while the disk refuses what the start has to write.
+         */
+        fun openWhenRoom(
+            folder: () -> Folder,
+            newDiskId: () -> String,
+            wait: () -> Unit,
+        ): StoreDisk {
+            var refusals = 0
+            while (true) {
+                try {
+                    return open(folder(), newDiskId)
+                        .also { if (refusals > 0) log.event("disk_accepts", mapOf("attempts" to refusals)) }
+                } catch (e: DiskError.WriteRefused) {
+                    if (refusals++ == 0) log.warn("disk_refused", mapOf("reason" to e.message, "waiting" to "start"))
+                    wait()
+                }
+            }
+        }
+
         /** Opens the log, or creates one with the identity from [newDiskId]. Throws [DiskError]. */
         fun open(
             folder: Folder,
@@ -98,7 +153,7 @@
                 openLocked(folder, lock, newDiskId)
             } catch (e: IOException) {
                 lock.close()
-                throw e as? DiskError ?: DiskError.WriteFailed(folder.path, e)
+                throw e as? DiskError ?: DiskError.WriteRefused(folder.path, folder.step("start", 0), e)
             }
         }
 
@@ -125,168 +180,9 @@
             }
             val diskId = if (hasIdentity) readIdentity(folder) else writeIdentity(folder, current, newDiskId())
             deleteLeftovers(folder, current)
+            syncing(folder, "names", 0) { folder.sync() }
             val restored = readLog(folder, current, readSnapshot(folder, current))
             return StoreDisk(folder, lock, diskId, restored, current, folder.append(logName(current)))
         }
     }
 }
-
-private const val LOCK_FILE = "lock"
-private const val IDENTITY_FILE = "identity"
-private const val LOG_PREFIX = "log-"
-private const val SNAPSHOT_PREFIX = "snapshot-"
-private const val TEMPORARY_SUFFIX = ".tmp"
-private val json = Json { encodeDefaults = false }
-
-private fun logName(generation: Long) = "$LOG_PREFIX$generation"
-
-private fun snapshotName(generation: Long) = "$SNAPSHOT_PREFIX$generation"
-
-private fun generationOf(name: String) =
-    if (name.startsWith(LOG_PREFIX)) name.removePrefix(LOG_PREFIX).toLongOrNull() else null
-
-private fun <T> encode(
-    serializer: KSerializer<T>,
-    value: T,
-) = encodeRecord(json.encodeToString(serializer, value).encodeToByteArray())
-
-private fun <T> decode(
-    serializer: KSerializer<T>,
-    payload: ByteArray,
-    file: String,
-    offset: Long,
-): T =
-    try {
-        json.decodeFromString(serializer, payload.decodeToString())
-    } catch (e: SerializationException) {
-        throw DiskError.Corrupt(file, offset, "the record cannot be decoded: ${e.message}")
-    }
-
-/** Writes a file under a temporary name and renames it once it is complete and durable. */
-private fun writeFile(
-    folder: Folder,
-    name: String,
-    write: (AppendFile) -> Unit,
-) {
-    val temporary = name + TEMPORARY_SUFFIX
-    if (temporary in folder.list()) folder.delete(temporary)
-    folder.append(temporary).use {
-        write(it)
-        it.sync()
-    }
-    folder.rename(temporary, name)
-    folder.sync()
-}
-
-private fun writeLog(
-    folder: Folder,
-    generation: Long,
-    first: LogRecord,
-) = writeFile(folder, logName(generation)) { it.append(encode(LogRecord.serializer(), first)) }
-
-private fun writeSnapshot(
-    folder: Folder,
-    generation: Long,
-    state: StoreState,
-) = writeFile(folder, snapshotName(generation)) { file ->
-    var parts = 0
-    state.snapshotParts().forEach {
-        file.append(encode(SnapshotPart.serializer(), it))
-        parts++
-    }
-    file.append(encode(SnapshotEnd.serializer(), SnapshotEnd(parts)))
-}
-
-private fun readSnapshot(
-    folder: Folder,
-    generation: Long,
-): StoreState {
-    if (generation == 0L) return StoreState()
-    val name = snapshotName(generation)
-    val path = "${folder.path}/$name"
-    if (name !in folder.list()) throw DiskError.Missing(path, "it is the snapshot on which the log is based")
-    var state = StoreState()
-    var parts = 0
-    folder.read(name).use { input ->
-        val records = readRecords(path, input).iterator()
-        while (records.hasNext()) {
-            val payload = records.next()
-            if (records.hasNext()) {
-                state = state.plus(decode(SnapshotPart.serializer(), payload, path, 0))
-                parts++
-            } else {
-                val end = decode(SnapshotEnd.serializer(), payload, path, 0)
-                if (end.parts != parts) throw DiskError.Corrupt(path, 0, "${end.parts} parts expected, $parts found")
-                return state
-            }
-        }
-    }
-    throw DiskError.Corrupt(path, 0, "the file is empty")
-}
-
-/** Reads the log and truncates a torn last record, which was never acknowledged. */
-private fun readLog(
-    folder: Folder,
-    generation: Long,
-    state: StoreState,
-): RestoredLog {
-    val name = logName(generation)
-    val path = "${folder.path}/$name"
-    val bytes = folder.read(name).use { it.readAllBytes() }
-    val builder = LogBuilder(RestoredLog(state = state))
-    var offset = 0
-    while (offset < bytes.size) {
-        when (val record = scanRecord(bytes, offset)) {
-            is ScannedRecord.Valid -> {
-                val changes = decode(LogRecord.serializer(), record.payload, path, offset.toLong()).changes
-                if (!changes.all(
-                        builder::add,
-                    )
-                ) {
-                    throw DiskError.Corrupt(path, offset.toLong(), "an entry does not follow the previous one")
-                }
-                offset += HEADER_BYTES + record.payload.size
-            }
-
-            is ScannedRecord.Damaged -> {
-                // The first record cannot be torn: it was durable before the file was renamed to its final name.
-                val isTorn = offset > 0 && findRecordAfter(bytes, offset) == null
-                if (!isTorn) throw DiskError.Corrupt(path, offset.toLong(), record.problem)
-                folder.truncate(name, offset.toLong())
-                break
-            }
-        }
-    }
-    if (offset == 0) throw DiskError.Corrupt(path, 0, "the file is empty")
-    return builder.build()
-}
-
-private fun readIdentity(folder: Folder): String {
-    val text = folder.read(IDENTITY_FILE).use { it.readAllBytes().decodeToString() }.trim()
-    if (text.isEmpty()) throw DiskError.Corrupt("${folder.path}/$IDENTITY_FILE", 0, "the file is empty")
-    return text
-}
-
-/** Accepts a log without an identity only if it is empty, left over from an interrupted first start. */
-private fun writeIdentity(
-    folder: Folder,
-    generation: Long,
-    diskId: String,
-): String {
-    val isUnused = generation == 0L && readLog(folder, 0, StoreState()) == RestoredLog()
-    if (!isUnused) throw DiskError.Missing("${folder.path}/$IDENTITY_FILE", "the log belongs to an unknown disk")
-    writeFile(folder, IDENTITY_FILE) { it.append(diskId.encodeToByteArray()) }
-    return diskId
-}
-
-private fun deleteLeftovers(
-    folder: Folder,
-    generation: Long,
-) {
-    val kept = setOf(LOCK_FILE, IDENTITY_FILE, logName(generation), snapshotName(generation))
-    folder.list().filter { it !in kept && isStoreFile(it) }.forEach(folder::delete)
-    folder.sync()
-}
-
-private fun isStoreFile(name: String) =
-    name.startsWith(LOG_PREFIX) || name.startsWith(SNAPSHOT_PREFIX) || name == IDENTITY_FILE + TEMPORARY_SUFFIX
--- a/state/src/main/kotlin/samphirechute/state/raft/DiskTracker.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/DiskTracker.kt
@@ -12,20 +12,35 @@
     private val pending = ArrayDeque<Pending>()
     private var issued = 0L
 
+    /** True while the disk refuses the oldest write. */
+    var isRefusing = false
+        private set
+
+    /** The size of the entries in writes that are not durable yet. */
+    val pendingBytes get() = pending.sumOf { it.bytes }
+
     val isIdle get() = pending.isEmpty()
     val hasSnapshot get() = pending.any { it.isSnapshot }
     val lastIssued get() = issued
 
+    /** When the oldest write in progress was issued, or null. */
+    val oldestIssuedMs get() = pending.firstOrNull()?.issuedMs
+
     /** Registers a write after which the log on disk ends at [lastIndex], and returns its sequence number. */
     fun issue(
         nowMs: Long,
         lastIndex: Long,
         isSnapshot: Boolean = false,
+        bytes: Long = 0,
     ): Long {
-        pending += Pending(++issued, nowMs, lastIndex, isSnapshot)
+        pending += Pending(++issued, nowMs, lastIndex, isSnapshot, bytes)
         return issued
     }
 
+    fun refuse() {
+        isRefusing = pending.isNotEmpty()
+    }
+
     /**
      * Returns [output] if no write is pending. Otherwise queues it behind the latest write, and [complete] returns it.
      */
@@ -38,6 +53,7 @@
     /** Marks the writes up to [sequence] as durable and returns the outputs that waited for them. */
     fun complete(sequence: Long): List<RaftOutput> {
         val released = ArrayList<RaftOutput>()
+        isRefusing = false
         while (pending.isNotEmpty() && pending.first().sequence <= sequence) {
             val write = pending.removeFirst()
             durableIndex = write.lastIndex
@@ -68,6 +84,7 @@
         val issuedMs: Long,
         var lastIndex: Long,
         val isSnapshot: Boolean,
+        val bytes: Long,
         val outputs: MutableList<RaftOutput> = ArrayList(),
     )
 
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -66,6 +66,13 @@
     /** On the leader: the change of the membership that comes next, if any; at least [minMembers] remain. */
     fun dueChange(minMembers: Int): DueChange? = policy?.due(minMembers)
 
+    /** Since when the disks that should confirm writes have confirmed none: this member's, and on the leader all. */
+    fun unconfirmedDisks(): Map<DiskIdentity, Long> =
+        leadership?.unconfirmedDisks.orEmpty() +
+            member.disk.oldestIssuedMs
+                ?.let { mapOf(member.identity to it) }
+                .orEmpty()
+
     /** On the leader: voters that have not answered for [durationMs]. */
     fun unresponsiveMembers(durationMs: Long): List<StoreMember> = leadership?.unresponsiveVoters(durationMs).orEmpty()
 
@@ -94,6 +101,7 @@
             is RaftInput.ConfirmRead -> confirmRead(input.token)
             is RaftInput.Received -> handleMessage(input.message)
             is RaftInput.DiskDone -> handleDiskDone(input.sequence)
+            is RaftInput.DiskRefused -> handleDiskRefused()
             is RaftInput.DiskFailed -> fail(input.reason)
             is RaftInput.Tick -> tick(input.wallMs)
         }
@@ -199,6 +207,12 @@
         advanceCommit(current)
     }
 
+    /** Leads no longer, since new entries wait for the own disk; another member is elected, as this one does not vote. */
+    private fun handleDiskRefused() {
+        member.disk.refuse()
+        stepDown()
+    }
+
     private fun handleDiskDone(sequence: Long) {
         member.disk.complete(sequence).forEach(member::emit)
         election.onDiskDone(sequence)
--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
@@ -19,6 +19,8 @@
 
     /** The operation to fail, such as `sync`, and how many of its calls succeed before. */
     var failing: Pair<String, Int>? = null
+
+    @Volatile
     var freeBytes = Long.MAX_VALUE
     val operations = mutableListOf<String>()
     override val path = "memory"
@@ -30,7 +32,10 @@
     override fun read(name: String): InputStream = ByteArrayInputStream(content(name).bytes)
 
     override fun append(name: String): AppendFile {
-        visible = if (name in visible) visible else visible + (name to Content())
+        if (name !in visible) {
+            if (freeBytes <= 0) throw IOException("No space left on device")
+            visible = visible + (name to Content())
+        }
         val content = content(name)
         return object : AppendFile {
             override fun append(bytes: ByteArray) {
@@ -38,7 +43,13 @@
                 val writable = minOf(bytes.size.toLong(), freeBytes).toInt()
                 content.bytes += bytes.copyOf(writable)
                 freeBytes -= writable
-                if (writable < bytes.size) throw IOException("no space left on device")
+                if (writable < bytes.size) throw IOException("No space left on device")
+            }
+
+            override fun truncate(length: Long) {
+                recordOrFail("truncate")
+                content.bytes = content.bytes.copyOf(length.toInt())
+                check(content.durableLength <= length) { "durable bytes are cut off" }
             }
 
             override fun sync() {
