Sync the log at the start before anything relies on it

A process that ended between a write and its sync left a record that its next start restored and confirmed to the leader as durable. A power loss of all members right after could lose what was acknowledged with it.

StoreDisk.open now syncs the log that it has read, which also covers the cut of a torn record; an error of this sync is final, as any other. Folder.truncate no longer syncs by itself.

--- a/state/src/main/kotlin/samphirechute/state/disk/Folder.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/Folder.kt
@@ -22,6 +22,7 @@
     /** Opens [name] for appending and creates it if it does not exist. */
     fun append(name: String): AppendFile
 
+    /** Cuts [name] to [length] bytes, without making that durable. */
     fun truncate(
         name: String,
         length: Long,
--- a/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
@@ -39,9 +39,8 @@
     override fun truncate(
         name: String,
         length: Long,
-    ) = FileChannel.open(root.resolve(name), WRITE).use {
-        it.truncate(length)
-        it.force(true)
+    ) {
+        FileChannel.open(root.resolve(name), WRITE).use { it.truncate(length) }
     }
 
     override fun rename(
--- a/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
@@ -182,7 +182,10 @@
             deleteLeftovers(folder, current)
             syncing(folder, "names", 0) { folder.sync() }
             val restored = readLog(folder, current, readSnapshot(folder, current))
-            return StoreDisk(folder, lock, diskId, restored, current, folder.append(logName(current)))
+            val file = folder.append(logName(current))
+            // A process that ended before the sync may have left records that are not durable yet.
+            syncing(folder, "restored log", folder.size(logName(current))) { file.sync() }
+            return StoreDisk(folder, lock, diskId, restored, current, file)
         }
     }
 }
--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
@@ -67,7 +67,7 @@
     ) {
         recordOrFail("truncate")
         content(name).bytes = content(name).bytes.copyOf(length.toInt())
-        content(name).durableLength = length.toInt()
+        content(name).durableLength = minOf(content(name).durableLength, length.toInt())
     }
 
     override fun rename(
--- a/state/src/test/kotlin/samphirechute/state/disk/StoreDiskSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/StoreDiskSpec.kt
@@ -112,6 +112,23 @@
                 )
             }
         }
+
+        /** Guards against acknowledging after a restart what an ended process had written but not synced. */
+        @Test
+        fun `what a start restores survives a power loss`() {
+            for (seed in 0L until 50L) {
+                val one = MemoryFolder()
+                val ended = open(one)
+                ended.write(listOf(entries(1L..1L)))
+                one.failing = "sync" to 0
+                assertFailsWith<DiskError.SyncFailed> { ended.write(listOf(entries(2L..2L))) }
+                one.failing = null
+                ended.close()
+                val restored = open(one).restored
+                one.crash(Random(seed))
+                assertEquals(restored, open(one).use { it.restored }, "seed $seed")
+            }
+        }
     }
 
     @Nested
