Keep a response that is written when its connection closes

What a caller saw: the rest of a response that was written whole was lost, since its next request lay unread when the server closed the connection, and the close became a reset. A request that was queued behind the last response could also be passed on, and ended with the connection (by reading, no test).

Change: after the last response the server reads and processes nothing more, closes the sending side once the response is written, and the connection 1 s later if the client keeps connections. closeIdle leaves such a connection to that timer.

--- a/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
@@ -1,7 +1,6 @@
 package samphirechute.net
 
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DuplexChannel
@@ -40,8 +39,8 @@
     private var timeout: Subscription? = null
     private var isRefused = false
 
-    /** True while no request is being read or answered. */
-    val isIdle: Boolean get() = activeExchange == null && currentReader == null && queued.isEmpty()
+    /** True while no request is being read or answered, and the connection is not about to be closed anyway. */
+    val isIdle: Boolean get() = !isRefused && activeExchange == null && currentReader == null && queued.isEmpty()
 
     override fun channelActive(context: ChannelHandlerContext) = armTimeout(context, limits.keepAliveMs)
 
@@ -121,7 +120,12 @@
         context: ChannelHandlerContext,
         reader: RequestReader,
     ) {
-        val exchange = ServerExchange(context, reader, isLastOnConnection) { completeExchange(context) }
+        val exchange =
+            ServerExchange(
+                context,
+                reader,
+                isLastOnConnection,
+            ) { isLast -> completeExchange(context, reader.head, isLast) }
         activeExchange = exchange
         try {
             handler(exchange)
@@ -131,17 +135,40 @@
         }
     }
 
-    private fun completeExchange(context: ChannelHandlerContext) {
+    private fun completeExchange(
+        context: ChannelHandlerContext,
+        head: HttpRequest,
+        isLast: Boolean,
+    ) {
         activeExchange = null
-        if (isClosingIdle() && isIdle) {
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
-            return
-        }
+        if (isLast || (isClosingIdle() && isIdle)) return closeAfterResponse(context, head)
         armTimeout(context, limits.keepAliveMs)
         // Posted rather than called, so that the responses to many queued requests do not nest.
         loop.post { processQueued(context) }
     }
 
+    /**
+     * Closes the connection once the response is written, and processes no request that came behind it. A client that keeps
+     * its connections may have sent one already: as unread bytes it would turn the close into a reset, with which the client
+     * could lose the response. So only the sending side is closed first, and the connection after a delay.
+     */
+    private fun closeAfterResponse(
+        context: ChannelHandlerContext,
+        head: HttpRequest,
+    ) {
+        isRefused = true
+        context.channel().config().isAutoRead = false
+        val maySendMore = HttpUtil.isKeepAlive(head)
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener {
+            if (!maySendMore) {
+                context.close()
+            } else {
+                (context.channel() as? DuplexChannel)?.shutdownOutput()
+                timeout = loop.timer.after(CLOSE_DELAY_MS) { context.close() }
+            }
+        }
+    }
+
     private fun processQueued(context: ChannelHandlerContext) {
         while (activeExchange == null) process(context, queued.removeFirstOrNull() ?: break)
         if (queued.isEmpty()) context.channel().config().isAutoRead = true
@@ -203,6 +230,9 @@
 
     private companion object {
         const val LINGER_MS = 2_000L
+
+        /** The time for a client to receive the rest of a response from the operating system. */
+        const val CLOSE_DELAY_MS = 1_000L
         val log = KeyValueLog("server")
     }
 }
--- a/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
@@ -1,7 +1,6 @@
 package samphirechute.net
 
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -21,7 +20,8 @@
     private val context: ChannelHandlerContext,
     private val reader: RequestReader,
     private val isLastOnConnection: () -> Boolean,
-    private val onFinished: () -> Unit,
+    /** Called with true if this response is the last one on its connection, which is then to be closed. */
+    private val onFinished: (isLast: Boolean) -> Unit,
 ) : Exchange {
     override val request = reader.toRequest()
     override var onAborted: () -> Unit = {}
@@ -140,8 +140,7 @@
     private fun complete() {
         isEnded = true
         releaseBody()
-        if (isClosing) context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
-        onFinished()
+        onFinished(isClosing)
     }
 
     private companion object {
