Wait at a start for room only

Found in review: a start on a full disk waited only where a write was refused, not where the folder or its lock had no room, and it waited for ever after any other error, also one of reading, with a single log line and no port bound.

StoreDisk.openWhenRoom waits only for errors that name a lack of room, wherever they arise, and throws all others as before.

--- a/state/src/main/kotlin/samphirechute/state/disk/DiskError.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/DiskError.kt
@@ -47,9 +47,9 @@
         cause: IOException,
     ) : WriteFailed("sync failed", folder, step, cause)
 
-    private companion object {
+    internal companion object {
         /** The texts of ENOSPC and EDQUOT, for which the JVM has no exception classes. */
-        val NO_ROOM = listOf("no space left on device", "disk quota exceeded")
+        private val NO_ROOM = listOf("no space left on device", "disk quota exceeded")
 
         fun isNoRoom(cause: IOException) = NO_ROOM.any { it in cause.message.orEmpty().lowercase() }
     }
--- a/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
@@ -124,7 +124,8 @@
         private val log = KeyValueLog("store")
 
         /**
-         * Opens the log as [open] does, and again after each [wait] while the disk refuses what the start has to write.
+         * Opens the log as [open] does, and again after each [wait] while the disk has no room for what the start has to
+         * write. Any other error is thrown, since waiting would hide a disk that cannot be read.
          */
         fun openWhenRoom(
             folder: () -> Folder,
@@ -136,7 +137,8 @@
                 try {
                     return open(folder(), newDiskId)
                         .also { if (refusals > 0) log.event("disk_accepts", mapOf("attempts" to refusals)) }
-                } catch (e: DiskError.WriteRefused) {
+                } catch (e: IOException) {
+                    if (!DiskError.isNoRoom(e)) throw e
                     if (refusals++ == 0) log.warn("disk_refused", mapOf("reason" to e.message, "waiting" to "start"))
                     wait()
                 }
--- a/state/src/test/kotlin/samphirechute/state/disk/StoreDiskSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/StoreDiskSpec.kt
@@ -14,6 +14,7 @@
 import samphirechute.state.raft.RaftInput
 import samphirechute.state.raft.RestoredLog
 import samphirechute.state.store.StoreState
+import java.io.IOException
 import java.nio.file.Path
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -283,6 +284,19 @@
             }
         }
 
+        /** Guards against an exit when there is no room for the folder or its lock, and a wait for a disk that is broken. */
+        @Test
+        fun `a start waits for room only`() {
+            var waits = 0
+            val full = listOf(IOException("No space left on device"), null).iterator()
+            val folderOnceThereIsRoom = { full.next()?.let { throw it } ?: MemoryFolder() }
+            StoreDisk.openWhenRoom(folderOnceThereIsRoom, { "disk-1" }) { waits++ }.close()
+            assertEquals(1, waits)
+            val broken = MemoryFolder().also { it.failing = "append" to 0 }
+            assertFailsWith<DiskError.WriteRefused> { StoreDisk.openWhenRoom({ broken }, { "disk-1" }) { waits++ } }
+            assertEquals(1, waits)
+        }
+
         /** Guards against log lines that do not tell a full disk from a broken one. */
         @Test
         fun `the error says whether there was no room, and what was written`() {
