--- a/bench/src/main/kotlin/samphirechute/bench/stops/Checks.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/Checks.kt
@@ -43,7 +43,7 @@
                 Cut.UPSTREAM_BROKE_OFF
             }
 
-            call.endMs >= call.sentMs + timeMs(call) -> {
+            call.endMs >= call.sentMs + timeMs(call) - ROUNDING_MS -> {
                 Cut.DEADLINE
             }
 
@@ -142,6 +142,9 @@
         /** A request that is sent up to here after SIGTERM may be cut if its upstream is still at work [LATE_MS] after it. */
         const val TAKEN_MS = 3_000L
         const val LATE_MS = GRACE_MS * 5 / 6
+
+        /** Caller and instance each round the start and the end of a request to whole milliseconds. */
+        private const val ROUNDING_MS = 2L
         private const val OK = 200
         private const val HUNDRED = 100
         private const val SHOWN_CHARS = 80
--- a/bench/src/test/kotlin/samphirechute/bench/stops/ChecksSpec.kt
+++ b/bench/src/test/kotlin/samphirechute/bench/stops/ChecksSpec.kt
@@ -84,7 +84,8 @@
         fun `what the upstream, the deadline or a disruption ended is excused`() {
             val late = cutLate.copy(sentMs = 13_100)
             assertEquals(Cut.UPSTREAM_BROKE_OFF, cut(late, listOf(working.copy(end = RunEnd.BROKE_OFF))))
-            assertEquals(Cut.DEADLINE, cut(late.copy(deadlineMs = 4_600)))
+            assertEquals(Cut.DEADLINE, cut(late.copy(deadlineMs = 4_602)))
+            assertEquals(Cut.BROKEN, cut(late.copy(deadlineMs = 4_603)))
             assertEquals(Cut.DISRUPTED, cut(late, disruptions = listOf(Disruption("entry-0", 14_000, 15_000))))
             assertEquals(Cut.BROKEN, cut(late, disruptions = listOf(Disruption("entry-1", 14_000, 15_000))))
             assertEquals(Cut.BROKEN, cut(late, disruptions = listOf(Disruption("entry-0", 11_000, 13_099))))
