--- a/bench/src/main/kotlin/samphirechute/bench/system/Announcer.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/Announcer.kt
@@ -48,8 +48,8 @@
     }
 
     private fun nextRecord(life: Life) =
-        """{"service":"${place.service}","address":"${place.ip}:${life.port}","zone":"${place.zone}","version":"v1",""" +
-            """"slots":$slots,"state":"ready","cold_remaining_ms":0,"sequence":${++life.sequence},"born":${life.bornMs}}"""
+        """{"service":"${place.service}","address":"${place.ip}:${life.port}",""" +
+            """"zone":"${place.zone}","version":"v1","slots":$slots,"state":"ready","cold_remaining_ms":0,"sequence":${++life.sequence},"born":${life.bornMs}}"""
 
     private companion object {
         const val OK = 200
