Keep a silent upstream until another one has been granted

Cause: the attempt was ended first and the replacement asked for afterwards. After that silence a request has no time left to wait in the queue, so where no upstream was free it was refused at once, and nothing was left to answer with. That an upstream was open was checked, but not that it had room.

Change: the relay asks for another place while the attempt goes on, and ends it only when another upstream is granted and may be used. If none is, silent_kept says so, and the same is asked again after the next silence. An attempt that ends while the question is open goes on with its answer. The pieces of a whole answer restart the timer. PlacementClient keeps the placement of the next upstream when the end of the one before it is reported.

Left: an upstream that is granted and then refuses leaves the request without either; while an upstream that was granted is given back, the coordinator does not count the one that works.

--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
@@ -143,7 +143,8 @@
 
     /** Reports the end of an attempt to the local placer at once and to the coordinator soon. */
     fun reportEnd(result: PlacementResult) {
-        running -= result.request
+        // A request that is taken over from a silent upstream is placed on the next one before its attempt ends.
+        if (running[result.request]?.upstream == result.upstream) running -= result.request
         deliverLocal(localPlacer.reportEnd(result, timer.nowMs()))
         results += result
         scheduleReport()
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -36,11 +36,8 @@
     private val requestId: RequestId,
     private val sink: EventSink?,
     private val timeouts: AttemptTimeouts,
-    /**
-     * Returns false if a stream should be waited for however long it is silent, since no other upstream can continue
-     * it.
-     */
-    private val canBeReplaced: () -> Boolean,
+    /** Called each time that the upstream has sent nothing for its timeout. The attempt goes on until [endAsSilent]. */
+    private val onSilent: (Attempt) -> Unit,
     /** Called once when the answer has got beyond its beginning. */
     private val onProgress: (Attempt) -> Unit,
     private val onResult: (Attempt, AttemptResult) -> Unit,
@@ -73,6 +70,9 @@
     var events = 0
         private set
 
+    /** Grows with each part of the answer that shows that the upstream works. */
+    val progress: Int get() = events + body.size()
+
     /** False while the upstream may still be working on the beginning of the answer. */
     val isBeyondBeginning: Boolean get() = events >= BEGINNING_EVENTS
 
@@ -156,6 +156,7 @@
         if (firstByteMs == null) firstByteMs = elapsedMs()
         if (body.size() + piece.readableBytes() > MAX_WHOLE_BYTES) return fail("answer_too_large")
         piece.readBytes(body, piece.readableBytes())
+        restartSilenceTimer(timeouts.nextEventMs)
     }
 
     override fun onEnd() {
@@ -242,13 +243,15 @@
         if (hasAdvanced) restartSilenceTimer(timeouts.nextEventMs)
     }
 
-    /** Fails the attempt if nothing arrives within [limitMs]. A stream that nobody can continue is waited for again. */
+    /** Ends the attempt because another upstream takes the request from one that sends nothing. */
+    fun endAsSilent() = fail(if (firstByteMs == null) "silent" else "stalled", isStalled = true)
+
     private fun restartSilenceTimer(limitMs: Long) {
         silenceTimer?.cancel()
-        val reason = if (firstByteMs == null) "silent" else "stalled"
         silenceTimer =
             context.timer.after(limitMs) {
-                if (sink == null || canBeReplaced()) fail(reason, isStalled = true) else restartSilenceTimer(limitMs)
+                restartSilenceTimer(limitMs)
+                onSilent(this)
             }
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -84,6 +84,12 @@
     private var failedAnswer: AttemptResult.Answered? = null
     private var isDone = false
 
+    /** True while another upstream is looked for because the current one is silent. */
+    private var isReplacing = false
+
+    /** The upstream that takes the request over from a silent one, until it is used. */
+    private var replacement: Replacement? = null
+
     /** Requests the first placement; everything else follows from callbacks. */
     fun start() {
         exchange.onAborted = ::onCallerLeft
@@ -132,7 +138,12 @@
         return started
     }
 
-    private fun place() {
+    private fun place() = place(excluded, ::onPlacement)
+
+    private fun place(
+        excluded: Set<UpstreamId>,
+        onPlaced: (Placement, String) -> Unit,
+    ) {
         val request =
             PlacementRequest(
                 requestId,
@@ -152,7 +163,7 @@
                 traits = accepted.traits,
             )
         context.placementClient.place(request) { placement, by ->
-            if (isDone) releasePlacement(placement) else onPlacement(placement, by)
+            if (isDone) releasePlacement(placement) else onPlaced(placement, by)
         }
     }
 
@@ -182,6 +193,13 @@
         if (!context.limits.admits(granted)) return decline(granted, by, "limit")
         val quarantine = context.quarantine.find(accepted.traits).takeUnless { granted.isProbe }
         if (quarantine != null) return refuseQuarantined(granted, by, quarantine)
+        startAttempt(granted, by)
+    }
+
+    private fun startAttempt(
+        granted: Placement.Granted,
+        by: String,
+    ) {
         isWatched = granted.isWatched
         sends++
         upstream = granted.upstream
@@ -218,7 +236,7 @@
                     remainingMs(),
                     isLast = !isRepeatable || runs + 1 >= route.maxAttempts,
                 ),
-                { canBeReplaced(granted.upstream) },
+                ::onSilent,
                 { observeRun(granted.upstream, it, RunOutcome.SOUND) },
                 ::onAttemptEnded,
             )
@@ -277,11 +295,72 @@
         if (++declined <= MAX_DECLINED) place() else giveUp("declined")
     }
 
-    /** Returns whether another upstream can continue a stream on which [current] sends nothing. */
+    /**
+     * Asks for another upstream while the current attempt goes on. The attempt ends only once another upstream takes the
+     * request, since a silent upstream may still answer.
+     */
+    private fun onSilent(silent: Attempt) {
+        val current = upstream ?: return
+        if (isReplacing || !canBeReplaced(current)) return
+        isReplacing = true
+        val progress = silent.progress
+        place(excluded + current) { placement, by ->
+            isReplacing = false
+            when {
+                // The attempt has ended meanwhile, and the request waits for this placement.
+                attempt !== silent -> {
+                    onPlacement(placement, by)
+                }
+
+                placement !is Placement.Granted || silent.progress != progress -> {
+                    keep(current, placement, by)
+                }
+
+                isUsable(placement) -> {
+                    replacement = Replacement(placement, by)
+                    silent.endAsSilent()
+                }
+
+                else -> {
+                    excluded += placement.upstream
+                    keep(current, placement, by)
+                }
+            }
+        }
+    }
+
+    /** Returns whether another upstream can take the request over from [current], which sends nothing. */
     private fun canBeReplaced(current: UpstreamId) =
-        mayRunAgain() && remainingMs() > MIN_REMAINING_MS && context.budget.hasRemaining(context.timer.nowMs()) &&
+        isRepeatable && canContinue && runs + 1 < route.maxAttempts && maySendAgain() &&
+            context.budget.hasRemaining(context.timer.nowMs()) &&
             context.placementClient.hasAlternative(accepted.service, excluded + current)
 
+    /** Makes the checks of [dispatch] and [retry]. The limit comes last, since admission counts against it. */
+    private fun isUsable(granted: Placement.Granted) =
+        maySendAgain() && context.availability.isAvailable(granted.upstream) &&
+            (granted.isProbe || context.quarantine.find(accepted.traits) == null) &&
+            context.budget.hasRemaining(context.timer.nowMs()) && context.limits.admits(granted)
+
+    /** Goes on waiting for [current], since no other upstream takes the request or an answer has come meanwhile. */
+    private fun keep(
+        current: UpstreamId,
+        placement: Placement,
+        by: String,
+    ) {
+        releasePlacement(placement)
+        context.log.event(
+            "silent_kept",
+            mapOf(
+                "request" to requestId,
+                "upstream" to current,
+                "by" to by,
+                "refused" to (placement as? Placement.Refused)?.reason?.name?.lowercase(),
+                "events" to lastEventId,
+                "after_ms" to elapsedMs(),
+            ),
+        )
+    }
+
     private fun send(
         next: Attempt,
         granted: Placement.Granted,
@@ -463,13 +542,23 @@
         isFree: Boolean = false,
     ) {
         excluded += target
-        val isAllowed =
-            sends < route.maxAttempts + EXTRA_SENDS_IF_NOT_RUN && mayRunAgain() && remainingMs() > MIN_REMAINING_MS
+        val isAllowed = mayRunAgain() && maySendAgain()
         if (!isAllowed || !(isFree || context.budget.tryAcquire(context.timer.nowMs()))) return giveUp(reason)
         context.log.event("retrying", mapOf("request" to requestId, "upstream" to target, "reason" to reason))
-        place()
+        val next = replacement
+        replacement = null
+        when {
+            next != null -> startAttempt(next.granted, next.by)
+
+            // The placement that was asked for while the upstream was silent is still to come.
+            isReplacing -> Unit
+
+            else -> place()
+        }
     }
 
+    private fun maySendAgain() = sends < route.maxAttempts + EXTRA_SENDS_IF_NOT_RUN && remainingMs() > MIN_REMAINING_MS
+
     private fun mayRunAgain() = runs < route.maxAttempts && canContinue
 
     private fun refuse(refused: Placement.Refused) = giveUp(refused.reason.name.lowercase(), refused.retryAfterMs)
@@ -565,6 +654,8 @@
         if (isDone) return
         isDone = true
         timeout.cancel()
+        replacement?.let { releasePlacement(it.granted) }
+        if (isReplacing) context.placementClient.withdraw(requestId)
         context.log.recordFinished(route.name, status, reason)
         context.log.event(
             "finished",
@@ -611,6 +702,12 @@
     }
 }
 
+/** An upstream that was granted in place of a silent one, and who granted it. */
+private class Replacement(
+    val granted: Placement.Granted,
+    val by: String,
+)
+
 /** The route, service and team of an accepted request, from the configuration at [revision]. */
 internal class AcceptedRequest(
     val route: Route,
