Limit skipped bytes for each call instead of each connection

Calls failed once 4 MB of copies had arrived over the life of a connection. SkippedAnswerSpec failed without the reset (200, null, 200, null for four calls) and passes with it; run with the compiler and the JUnit launcher directly, not through Maven.

--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -24,6 +24,8 @@
     /** True while an interim response (1xx) is being read; the real one follows. */
     private var isInterim = false
     private var isSkipping = false
+
+    /** The bytes that were skipped since the current call started. */
     private var skippedBytes = 0L
     private var idleLimitMs = Long.MAX_VALUE
     private val record = ConnectionRecord(address)
@@ -34,6 +36,7 @@
     /** Starts a call and returns how many the connection carried before it. */
     fun startCall(next: ActiveCall): Int {
         call = next
+        skippedBytes = 0
         return record.startCall()
     }
 
@@ -97,7 +100,7 @@
         return isOwn
     }
 
-    /** Skips a response to another request, up to a limit, since such a response may never end. */
+    /** Skips a response to another request, up to a limit for each call, since such a response may never end. */
     private fun skipContent(
         context: ChannelHandlerContext,
         current: ActiveCall,
