--- a/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
+++ b/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
@@ -45,8 +45,13 @@
     fun failToConnect(cause: Throwable?) =
         fail(ClientFailure.ConnectFailed(cause?.message ?: "no connection to ${request.address}"))
 
-    /** True once the whole request is written, so that the connection can be reused. */
-    val isWritten: Boolean get() = writer?.isDone ?: false
+    /**
+     * True if another call may follow on the connection. A peer that responds before it has read the whole request
+     * still expects the rest of the body.
+     */
+    val allowsReuse: Boolean get() = !request.closesConnection && writer?.isDone == true
+
+    val isHead: Boolean get() = request.method == "HEAD"
 
     /** Names the request in log lines; null for a call without a name. */
     val label: String? get() = request.label
@@ -107,6 +112,7 @@
         message.headers()[HttpHeaderNames.HOST] = request.address.toString()
         if (request.body.isNotEmpty()) message.headers()[HttpHeaderNames.CONTENT_TYPE] = request.contentType
         HttpUtil.setContentLength(message, request.body.size.toLong())
+        if (request.closesConnection) HttpUtil.setKeepAlive(message, false)
         request.headers.forEach { (name, value) -> message.headers()[name] = value }
         return message
     }
--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -12,11 +12,13 @@
 
 /**
  * The handler of one connection that [HttpClient] opened. It carries one call at a time and returns to the pool when
- * the response is complete.
+ * the response is complete. Bytes that arrive while no call waits close it, since part of a response would join the
+ * next one.
  */
 internal class ClientConnection(
     private val address: HostPort,
     private val pool: ConnectionPool,
+    private val decoder: ClientDecoder,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var call: ActiveCall? = null
     private var isKeepAlive = true
@@ -30,13 +32,14 @@
     private var idleLimitMs = Long.MAX_VALUE
     private val record = ConnectionRecord(address)
 
-    /** Sees the bytes of the connection before they are decoded. */
+    /** Refuses the bytes that arrive while no call waits, before they are decoded. */
     val unaskedBytes = UnaskedBytesHandler(isIdle = { call == null }, onUnasked = record::recordUnasked)
 
     /** Starts a call and returns how many the connection carried before it. */
     fun startCall(next: ActiveCall): Int {
         call = next
         skippedBytes = 0
+        decoder.isHeadCall = next.isHead
         return record.startCall()
     }
 
@@ -150,9 +153,10 @@
     ) {
         call = null
         context.channel().config().isAutoRead = true
-        // A peer that responds before it has read the whole request still expects the rest of the body, so the
-        // connection cannot be reused.
-        val isReusable = isKeepAlive && current.isWritten
+        // Bytes behind the response may be part of another one, which would join the next.
+        val undecodedBytes = decoder.undecodedBytes
+        if (undecodedBytes > 0) record.recordUnasked(undecodedBytes)
+        val isReusable = isKeepAlive && current.allowsReuse && undecodedBytes == 0
         // The connection goes back to the pool before the listener is called, so that its next request can reuse it.
         if (isReusable) pool.release(address, context.channel(), idleLimitMs) else context.close()
         current.complete()
--- a/net/src/main/kotlin/samphirechute/net/ClientRequest.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientRequest.kt
@@ -4,7 +4,8 @@
 
 /**
  * A request to send with [HttpClient]. With [useFreshConnection] a new connection is opened, for cases where a pooled
- * one may have stopped responding without being closed.
+ * one may have stopped responding without being closed. With [closesConnection] the connection carries no later
+ * request.
  */
 class ClientRequest(
     val address: HostPort,
@@ -14,6 +15,7 @@
     val contentType: String = "application/json",
     val headers: Map<String, String> = emptyMap(),
     val useFreshConnection: Boolean = false,
+    val closesConnection: Boolean = false,
     /** The headers of a relayed request, sent unchanged instead of [headers] and [contentType]. */
     val relayedHeaders: List<HeaderField>? = null,
     /** Pooled connections that have been idle for longer than this are not used. */
--- a/net/src/main/kotlin/samphirechute/net/ConnectionRecord.kt
+++ b/net/src/main/kotlin/samphirechute/net/ConnectionRecord.kt
@@ -59,7 +59,7 @@
         )
     }
 
-    /** Logs the first bytes that arrive while no call waits; one line for each connection. */
+    /** Logs the bytes that arrive while no call waits, for which the connection is closed; one line for each. */
     fun recordUnasked(bytes: Int) {
         if (hasLoggedUnasked) return
         hasLoggedUnasked = true
@@ -84,7 +84,7 @@
     }
 }
 
-/** Reports the bytes that arrive while [isIdle], before they are decoded. */
+/** Closes the connection when bytes arrive while [isIdle]; reports them and keeps them from the decoder. */
 internal class UnaskedBytesHandler(
     private val isIdle: () -> Boolean,
     private val onUnasked: (Int) -> Unit,
@@ -93,7 +93,12 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
-        if (message is ByteBuf && isIdle()) onUnasked(message.readableBytes())
-        context.fireChannelRead(message)
+        if (message !is ByteBuf || !isIdle()) {
+            context.fireChannelRead(message)
+            return
+        }
+        onUnasked(message.readableBytes())
+        message.release()
+        context.close()
     }
 }
--- a/net/src/main/kotlin/samphirechute/net/HttpClient.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpClient.kt
@@ -10,7 +10,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
 import samphirechute.core.HostPort
 
@@ -95,9 +95,10 @@
     private fun initializer(address: HostPort) =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
-                val codec = HttpClientCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, CHUNK_BYTES)
-                val connection = ClientConnection(address, pool)
-                channel.pipeline().addLast(traffic.handler, connection.unaskedBytes, codec, connection)
+                val decoder = ClientDecoder(MAX_HEAD_BYTES, CHUNK_BYTES)
+                val connection = ClientConnection(address, pool, decoder)
+                val handlers = listOf(traffic.handler, connection.unaskedBytes, decoder, HttpRequestEncoder(), connection)
+                channel.pipeline().addLast(*handlers.toTypedArray())
             }
         }
 
