--- a/net/src/main/kotlin/samphirechute/net/HttpClient.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpClient.kt
@@ -97,8 +97,8 @@
             override fun initChannel(channel: SocketChannel) {
                 val decoder = ClientDecoder(MAX_HEAD_BYTES, CHUNK_BYTES)
                 val connection = ClientConnection(address, pool, decoder)
-                val handlers = listOf(traffic.handler, connection.unaskedBytes, decoder, HttpRequestEncoder(), connection)
-                channel.pipeline().addLast(*handlers.toTypedArray())
+                channel.pipeline().addLast(traffic.handler, connection.unaskedBytes, decoder)
+                channel.pipeline().addLast(HttpRequestEncoder(), connection)
             }
         }
 
