--- a/net/src/main/kotlin/samphirechute/net/BrokenHead.kt
+++ b/net/src/main/kotlin/samphirechute/net/BrokenHead.kt
@@ -12,9 +12,10 @@
     private val STATUS_LINE = Regex("HTTP/\\d\\.\\d \\d{3}")
     private const val VERSION = "HTTP/"
 
-    /** Returns whether the reason or a field of [response] contains a status line. */
+    /** Returns whether the reason or a field of [response] contains a status line; a name has only its version. */
     fun isFoundIn(response: HttpResponse): Boolean =
-        hasStatusLine(response.status().reasonPhrase()) || response.headers().any { hasStatusLine(it.value) }
+        hasStatusLine(response.status().reasonPhrase()) ||
+            response.headers().any { VERSION in it.key || hasStatusLine(it.value) }
 
     private fun hasStatusLine(text: String) = VERSION in text && STATUS_LINE.containsMatchIn(text)
 }
