Take the time that a route needs from served requests only

Found in review: a stopping instance took the time that a route needs from all answers below 500, so quick rejections made it look short and a request could be taken that the time left does not cover. Only answers below 400 count now. The comment on the balancer says when a refused caller may come back. No test of its own; StopAdmissionSpec covers what is done with the times.

--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -41,7 +41,7 @@
 ) : EventSink {
     val route = accepted.route
 
-    /** How long the whole answer took, or null while there is none and after a failure. */
+    /** How long the whole answer took, or null while there is none and after a rejection or failure. */
     var wholeAfterMs: Long? = null
         private set
     private val requestId = checkNotNull(caller.id) { "a request without an identifier was accepted" }
@@ -502,7 +502,7 @@
         body.write(result.body)
         body.finish()
         context.log.recordFirstByte(route.name, elapsedMs())
-        if (result.head.status < FIRST_FAILURE) wholeAfterMs = elapsedMs()
+        if (result.head.status < FIRST_REJECTION) wholeAfterMs = elapsedMs()
         finish(result.head.status, "answered")
     }
 
@@ -685,6 +685,9 @@
         const val OK = 200
         const val FIRST_FAILURE = 500
 
+        /** An upstream rejects a request faster than it serves one. */
+        const val FIRST_REJECTION = 400
+
         /** Statuses in logs and metrics only: the caller left before the answer, and a stream was aborted. */
         const val CALLER_LEFT = 499
         const val STREAM_ABORTED = 599
--- a/serving/src/main/kotlin/samphirechute/serving/relay/StopAdmission.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/StopAdmission.kt
@@ -67,7 +67,7 @@
     private companion object {
         /**
          * The balancer checks readiness every second and acts on the second refusal. From then on, a caller that is refused
-         * reaches another instance for certain.
+         * reaches another instance, unless the balancer uses all of them because most are not ready.
          */
         const val BALANCER_NOTICE_MS = 2_500L
         const val RECENT_ANSWERS = 64
