Charge the retry budget before a silent attempt is ended

By reading, of what a retry needs only the budget can change between the check and the end of the attempt, at the turn of one of its slots; no line said so.

The budget is charged with the other checks, while the attempt still goes on, and the retry that follows is not charged again. retry_denied now says which limit ended a request.

--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -335,11 +335,11 @@
             context.budget.hasRemaining(context.timer.nowMs()) &&
             context.placementClient.hasAlternative(accepted.service, excluded + current)
 
-    /** Makes the checks of [dispatch] and [retry]. The limit comes last, since admission counts against it. */
+    /** Makes the checks of [dispatch] and [retry]. Those that count against a limit or the budget come last. */
     private fun isUsable(granted: Placement.Granted) =
         maySendAgain() && context.availability.isAvailable(granted.upstream) &&
             (granted.isProbe || context.quarantine.find(accepted.traits) == null) &&
-            context.budget.hasRemaining(context.timer.nowMs()) && context.limits.admits(granted)
+            context.limits.admits(granted) && context.budget.tryAcquire(context.timer.nowMs())
 
     /** Goes on waiting for [current], since no other upstream takes the request or an answer has come meanwhile. */
     private fun keep(
@@ -542,10 +542,16 @@
         isFree: Boolean = false,
     ) {
         excluded += target
+        val next = replacement
         val isAllowed = mayRunAgain() && maySendAgain()
-        if (!isAllowed || !(isFree || context.budget.tryAcquire(context.timer.nowMs()))) return giveUp(reason)
+        // A replacement was charged to the budget before the silent attempt was ended for it.
+        if (!isAllowed || !(isFree || next != null || context.budget.tryAcquire(context.timer.nowMs()))) {
+            val limit = if (isAllowed) "budget" else "attempts_or_time"
+            val fields = mapOf("request" to requestId, "upstream" to target, "reason" to reason, "limit" to limit)
+            context.log.event("retry_denied", fields)
+            return giveUp(reason)
+        }
         context.log.event("retrying", mapOf("request" to requestId, "upstream" to target, "reason" to reason))
-        val next = replacement
         replacement = null
         when {
             next != null -> startAttempt(next.granted, next.by)
