--- a/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
+++ b/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
@@ -58,21 +58,23 @@
 
     override val connection: ConnectionUse? get() = handler?.use()?.copy(callsBefore = callsBefore)
 
-    /** The identifier that [response] bears, for log lines. */
-    fun idIn(response: HttpResponse): String? = request.idIn(headOf(response))
+    /** The status of the response, for log lines; null before its head. */
+    var status: Int? = null
+        private set
+
+    /** Returns the identifier in a response, for log lines. */
+    val idIn: (ResponseHead) -> String? get() = request.idIn
 
     /** Passes the head of a response to the listener; returns false when the response belongs to another request. */
     fun receiveHead(response: HttpResponse): Boolean {
         if (isDone) return true
-        val head = headOf(response)
+        val head = response.toHead()
         if (!request.isExpectedResponse(head)) return false
+        status = head.status
         listener.onResponseHead(head)
         return true
     }
 
-    private fun headOf(response: HttpResponse) =
-        ResponseHead(response.status().code(), response.headers().map { HeaderField(it.key, it.value) })
-
     fun receiveBody(piece: ByteBuf) {
         if (!isDone && piece.isReadable) listener.onBody(piece)
     }
@@ -131,3 +133,5 @@
         val BODILESS_METHODS = setOf("GET", "HEAD", "DELETE", "OPTIONS")
     }
 }
+
+internal fun HttpResponse.toHead() = ResponseHead(status().code(), headers().map { HeaderField(it.key, it.value) })
--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -99,7 +99,7 @@
         message: HttpResponse,
     ): Boolean {
         val isOwn = current.receiveHead(message)
-        if (!isOwn) record.startSkipped(message.status().code(), current.idIn(message), current.label)
+        if (!isOwn) record.startSkipped(message.status().code(), current.idIn(message.toHead()), current.label)
         return isOwn
     }
 
@@ -152,11 +152,12 @@
         current: ActiveCall,
     ) {
         call = null
+        record.endCall(current)
         context.channel().config().isAutoRead = true
         // Bytes behind the response may be part of another one, which would join the next.
-        val undecodedBytes = decoder.undecodedBytes
-        if (undecodedBytes > 0) record.recordUnasked(undecodedBytes)
-        val isReusable = isKeepAlive && current.allowsReuse && undecodedBytes == 0
+        val undecoded = decoder.undecoded
+        if (undecoded.isReadable) record.recordUnasked(undecoded)
+        val isReusable = isKeepAlive && current.allowsReuse && !undecoded.isReadable
         // The connection goes back to the pool before the listener is called, so that its next request can reuse it.
         if (isReusable) pool.release(address, context.channel(), idleLimitMs) else context.close()
         current.complete()
--- a/net/src/main/kotlin/samphirechute/net/ClientDecoder.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientDecoder.kt
@@ -1,5 +1,6 @@
 package samphirechute.net
 
+import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 
@@ -11,8 +12,8 @@
     /** Whether the current call is a HEAD request, whose response has no body although it states a length. */
     var isHeadCall = false
 
-    /** While a message is handled, the number of bytes that were received behind it. */
-    val undecodedBytes: Int get() = actualReadableBytes()
+    /** While a message is handled, the bytes that were received behind it. */
+    val undecoded: ByteBuf get() = internalBuffer()
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHeadCall || super.isContentAlwaysEmpty(message)
 }
--- a/net/src/main/kotlin/samphirechute/net/ConnectionRecord.kt
+++ b/net/src/main/kotlin/samphirechute/net/ConnectionRecord.kt
@@ -20,10 +20,20 @@
     private var skippedBytes = 0L
     private var current: SkippedAnswer? = null
     private var hasLoggedUnasked = false
+    private var lastLabel: String? = null
+    private var lastStatus: Int? = null
+    private var idIn: (ResponseHead) -> String? = { null }
 
     /** Counts a call and returns how many there were before it. */
     fun startCall(): Int = calls++
 
+    /** Keeps what names the call that is complete, and nothing else of it, since a connection may stay idle for long. */
+    fun endCall(call: ActiveCall) {
+        lastLabel = call.label
+        lastStatus = call.status
+        idIn = call.idIn
+    }
+
     fun use() = ConnectionUse(number, calls, skippedAnswers, skippedBytes)
 
     /** Begins an answer that is skipped while the call [waiting] waits for its own. */
@@ -59,13 +69,23 @@
         )
     }
 
-    /** Logs the bytes that arrive while no call waits, for which the connection is closed; one line for each. */
-    fun recordUnasked(bytes: Int) {
+    /** Logs the bytes that arrive while no call waits, for which the connection is closed; one line for each connection. */
+    fun recordUnasked(bytes: ByteBuf) {
         if (hasLoggedUnasked) return
         hasLoggedUnasked = true
+        val head = UnaskedAnswer.headOf(bytes)
         log.event(
             "unasked_bytes",
-            mapOf("connection" to number, "address" to address, "bytes" to bytes, "calls" to calls),
+            mapOf(
+                "connection" to number,
+                "address" to address,
+                "bytes" to bytes.readableBytes(),
+                "calls" to calls,
+                "after" to lastLabel,
+                "after_status" to lastStatus,
+                "status" to head?.status,
+                "id" to head?.let(idIn)?.take(MAX_LOGGED_CHARS),
+            ),
         )
     }
 
@@ -87,7 +107,7 @@
 /** Closes the connection when bytes arrive while [isIdle]; reports them and keeps them from the decoder. */
 internal class UnaskedBytesHandler(
     private val isIdle: () -> Boolean,
-    private val onUnasked: (Int) -> Unit,
+    private val onUnasked: (ByteBuf) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     override fun channelRead(
         context: ChannelHandlerContext,
@@ -97,7 +117,7 @@
             context.fireChannelRead(message)
             return
         }
-        onUnasked(message.readableBytes())
+        onUnasked(message)
         message.release()
         context.close()
     }
--- /dev/null
+++ b/net/src/main/kotlin/samphirechute/net/UnaskedAnswer.kt
@@ -0,0 +1,27 @@
+package samphirechute.net
+
+import io.netty.buffer.ByteBuf
+
+/**
+ * The beginning of an answer among bytes that arrived while no call waited, for log lines. It shows whether an upstream
+ * answered a request twice, and with which status the second time.
+ */
+internal object UnaskedAnswer {
+    private val STATUS_LINE = Regex("HTTP/\\d\\.\\d (\\d{3})(?: .*)?")
+
+    /** Bytes beyond this are not looked at; heads of upstreams are shorter. */
+    private const val MAX_HEAD_BYTES = 2_048
+
+    /** Returns the head that [bytes] begin with, as far as it has arrived, or null if they begin otherwise. */
+    fun headOf(bytes: ByteBuf): ResponseHead? {
+        val length = minOf(bytes.readableBytes(), MAX_HEAD_BYTES)
+        val lines = bytes.toString(bytes.readerIndex(), length, Charsets.ISO_8859_1).split("\r\n")
+        val status = STATUS_LINE.matchEntire(lines.first())?.groupValues?.get(1) ?: return null
+        val fields =
+            lines.drop(1).takeWhile { it.isNotEmpty() }.mapNotNull { line ->
+                val name = line.substringBefore(':', missingDelimiterValue = "")
+                HeaderField(name, line.substringAfter(':').trim()).takeIf { name.isNotEmpty() }
+            }
+        return ResponseHead(status.toInt(), fields)
+    }
+}
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -98,23 +98,19 @@
         mustRunOnce: Boolean,
         isSentBefore: Boolean,
     ) {
+        val protocol = context.protocol
         val outgoing =
             ClientRequest(
                 address,
                 request.method,
                 request.uri,
                 request.body,
-                relayedHeaders = context.protocol.upstreamHeaders(request, dispatch),
+                relayedHeaders = protocol.upstreamHeaders(request, dispatch),
                 useFreshConnection = isSentBefore,
                 maxIdleMs = if (mustRunOnce) ONCE_IDLE_MS else IDLE_MS,
-                isExpectedResponse = { context.protocol.readAnswer(it).requestId == requestId },
+                isExpectedResponse = { protocol.readAnswer(it).requestId == requestId },
                 label = requestId.value,
-                idIn = {
-                    context.protocol
-                        .readAnswer(it)
-                        .requestId
-                        ?.value
-                },
+                idIn = { protocol.readAnswer(it).requestId?.value },
             )
         upstream = dispatch.upstream
         restartSilenceTimer(timeouts.firstByteMs)
@@ -201,11 +197,11 @@
             }
 
             is ClientFailure.Closed -> {
-                fail("closed", isBrokenOff = true)
+                fail("closed", isBrokenOff = true, detail = failure.detail)
             }
 
             is ClientFailure.Malformed -> {
-                fail("malformed")
+                fail("malformed", detail = failure.detail)
             }
 
             is ClientFailure.TimedOut -> {
@@ -259,12 +255,13 @@
         reason: String,
         isStalled: Boolean = false,
         isBrokenOff: Boolean = false,
+        detail: String? = null,
     ) {
         if (isDone) return
         call?.cancel()
         finish(
             if (isSent) {
-                AttemptResult.Lost(reason, isStalled, isBrokenOff)
+                AttemptResult.Lost(reason, isStalled, isBrokenOff, detail)
             } else {
                 AttemptResult.NotRun(reason, false, isConnected = false)
             },
--- a/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
@@ -42,5 +42,7 @@
         isStalled: Boolean = false,
         /** The upstream ended the connection before the answer was complete, as when it crashes. */
         val isBrokenOff: Boolean = false,
+        /** What was wrong with the answer, for log lines. */
+        val detail: String? = null,
     ) : AttemptResult(if (isStalled) PlacementOutcome.STALLED else PlacementOutcome.FAILED, reason)
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -419,6 +419,7 @@
             "upstream" to target,
             "send" to sends,
             "outcome" to result.label,
+            "detail" to (result as? AttemptResult.Lost)?.detail,
             "head" to ended.status,
             "events" to ended.events,
             "sent_age_ms" to context.timer.nowMs() - ended.sentMs,
