Send each request to a plain service on a connection of its own

A caller whose request went over a used connection to a plain service that answers twice got the status and the body of another caller's request, or a failure although the service had answered.

Cause: whatever came first on a pooled connection was the answer. An X-Request-Id in it was compared after the body, and a foreign one failed the attempt; an answer without one passed as the own.

A service need not send the identifier, so a late copy cannot always be told from the answer. On a connection that carries one request nothing else can arrive. Orders had a new connection already, but left it in the pool. An answer that bears another identifier fails the attempt at once, as before. The price is one handshake for each repeatable request.

--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/ApplicationProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/ApplicationProtocol.kt
@@ -14,7 +14,11 @@
 import samphirechute.routing.Grant
 import samphirechute.routing.flow.AttemptFailure
 
-/** Passes a request on to a plain service and its answer back, as one piece. */
+/**
+ * Passes a request on to a plain service and its answer back, as one piece. A service need not name the request in its
+ * answer, so each request has a connection of its own: on one that was used before, the late copy of an earlier answer
+ * could not be told from the answer.
+ */
 internal class ApplicationProtocol(
     private val client: HttpClient,
     private val source: ServerRequest,
@@ -32,7 +36,8 @@
                 source.body,
                 source.header("Content-Type") ?: "application/octet-stream",
                 EndToEndHeaders.ofRequest(source.headers) + ownHeaders(work),
-                work.useFreshConnection,
+                useFreshConnection = true,
+                closesConnection = true,
             )
         return ApplicationAttempt(client, request, work, listener)
     }
