Send each request to an engine on a connection of its own

An attempt over a used connection to an engine that answers twice got the tokens, the end or the refusal of the attempt before it. Since each line names its request, no caller got foreign tokens: the attempt was lost and the request ran once more elsewhere, or failed where no other engine or retry was left. A request that was refused and sent again got the copy of its first refusal, so it counted as not run while it ran.

Cause: the head of an engine's answer names no request, and the lines do not name the sending. Copies cannot be skipped by the head, and not at all when the identifier is the same.

On a connection that carries one request nothing else can arrive. The price is one handshake for each first attempt; retries and requests that must not be repeated had a new connection already.

--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/EngineProtocol.kt
@@ -20,7 +20,11 @@
 import samphirechute.routing.flow.AttemptFailure
 import java.io.ByteArrayOutputStream
 
-/** The HTTP protocol of model engines: one JSON line for each token. */
+/**
+ * The HTTP protocol of model engines: one JSON line for each token. Only the lines and the body of a refusal name the
+ * request, so each request has a connection of its own: on one that was used before, the late copy of an earlier answer
+ * could not be skipped by its head, and a request that is sent again bears the name of its first sending.
+ */
 internal class EngineProtocol(
     private val client: HttpClient,
     private val model: String,
@@ -47,7 +51,8 @@
                 "POST",
                 "/v1/generate",
                 encode(body(work)),
-                useFreshConnection = work.useFreshConnection,
+                useFreshConnection = true,
+                closesConnection = true,
             )
         return EngineAttempt(listener).also { it.call = client.send(request, it) }
     }
