Send each call for lent memory on a connection of its own

A prompt beyond one engine could be sent without the memory it needs: the copy of an earlier 200 on the connection hid the 409 with which the engine refused to lend. The 200 may also be that of a cancellation, which uses the same pool.

Cause: the answers that grant memory name no request, and whatever came first on a pooled connection was the answer.

On a connection that carries one call nothing else can arrive.

Evidence: GangMemoryCopySpec failed before and passes now.

--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/GangMemory.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/GangMemory.kt
@@ -9,7 +9,10 @@
 import samphirechute.routing.GrantPart
 import com.github.michaelbull.result.get as valueOrNull
 
-/** The memory that engines lend to a prompt that is larger than the engine which answers it. */
+/**
+ * The memory that engines lend to a prompt that is larger than the engine which answers it. Answers that grant it name
+ * no request, so each call has a connection of its own, on which no late answer to an earlier call arrives.
+ */
 internal class GangMemory(
     private val client: HttpClient,
     private val grant: Grant,
@@ -42,7 +45,9 @@
         onDone: (Boolean) -> Unit,
     ) {
         val body = Json.encodeToString(KvBody.serializer(), KvBody(requestId, tokens)).encodeToByteArray()
-        client.call(ClientRequest(lender.address, "POST", path, body), TIMEOUT_MS) { result ->
+        val request =
+            ClientRequest(lender.address, "POST", path, body, useFreshConnection = true, closesConnection = true)
+        client.call(request, TIMEOUT_MS) { result ->
             onDone(result.valueOrNull()?.status == OK)
         }
     }
