Refuse fields whose name is followed by anything but spaces and a colon

Callers got the status of a copy, a success among them, with the identifier and the signature of the next answer, when the copy was broken off in a line whose first word is followed by a space.

Cause: the decoder takes the first word of such a line for the name of a field and drops what stands behind it, here the status line of the next answer, so that no check on the decoded head can see it.

Fix: the decoder looks at the line itself. A name must be followed by a colon, with spaces between them at most, as in "Server : x", which stays accepted. A status line behind a broken name is never a colon.

--- a/net/src/main/kotlin/samphirechute/net/ClientDecoder.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientDecoder.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.util.AsciiString
 
 /** Decodes the responses on a client connection, which carries one call at a time. */
 internal class ClientDecoder(
@@ -16,4 +17,22 @@
     val undecoded: ByteBuf get() = internalBuffer()
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHeadCall || super.isContentAlwaysEmpty(message)
+
+    /**
+     * Refuses a field whose name is followed by anything but spaces and a colon. The library takes the first word of such
+     * a line for a name and drops the others, which may be the status line of the next response.
+     */
+    override fun splitHeaderName(
+        line: ByteArray,
+        start: Int,
+        length: Int,
+    ): AsciiString {
+        val next = (start + length until line.size).firstOrNull { line[it].toInt().toChar() !in SPACES }
+        require(next != null && line[next].toInt().toChar() == ':') { "no colon behind the name of a field" }
+        return super.splitHeaderName(line, start, length)
+    }
+
+    private companion object {
+        const val SPACES = " \t"
+    }
 }
