Recognize status lines in any case and with any spaces in a head

Callers of upstreams that write "http/1.1 500", two spaces or a tab could get the status of a copy with the fields of the next answer.

Cause: the check for a head of two answers knew only the form that the protocol prescribes; the decoder accepts more.

Fix: the check accepts what the decoder accepts: any case, and one or more spaces of any kind before the status.

--- a/net/src/main/kotlin/samphirechute/net/BrokenHead.kt
+++ b/net/src/main/kotlin/samphirechute/net/BrokenHead.kt
@@ -8,14 +8,15 @@
  * and the fields are those of another.
  */
 internal object BrokenHead {
-    /** The beginning of a status line: version and status code. */
-    private val STATUS_LINE = Regex("HTTP/\\d\\.\\d \\d{3}")
+    /** The beginning of a status line, with any case and any spaces that the decoder accepts. */
+    private val STATUS_LINE = Regex("HTTP/\\d\\.\\d\\s+\\d{3}", RegexOption.IGNORE_CASE)
     private const val VERSION = "HTTP/"
 
     /** Returns whether the reason or a field of [response] contains a status line; a name has only its version. */
     fun isFoundIn(response: HttpResponse): Boolean =
         hasStatusLine(response.status().reasonPhrase()) ||
-            response.headers().any { VERSION in it.key || hasStatusLine(it.value) }
+            response.headers().any { it.key.contains(VERSION, ignoreCase = true) || hasStatusLine(it.value) }
 
-    private fun hasStatusLine(text: String) = VERSION in text && STATUS_LINE.containsMatchIn(text)
+    private fun hasStatusLine(text: String) =
+        text.contains(VERSION, ignoreCase = true) && STATUS_LINE.containsMatchIn(text)
 }
