End a call whose body contains the head of another response

Callers got a success with a copy of another answer in its body, where the upstream broke its body off and then wrote a copy, or wrote one behind a body that ends with the connection.

Cause: the bytes behind the break count as the rest of the body.

Fix: EmbeddedHead looks in each body for the head of a response that bears an identifier as ClientRequest.idIn finds it, and the call ends as malformed. A quoted status line or a head without an identifier is accepted, and calls without idIn are not affected. A head that begins in the body and ends behind it counts too, if its identifier has been read by then. What remains: a copy that is cut before its identifier, and a broken body completed by bytes without a head, pass as before, as nothing tells them from a body. A body that quotes a whole head with an identifier now fails; no such upstream is known.

The cost for large bodies was not measured.

--- a/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
+++ b/net/src/main/kotlin/samphirechute/net/ActiveCall.kt
@@ -62,7 +62,7 @@
     var status: Int? = null
         private set
 
-    /** Returns the identifier in a response, for log lines. */
+    /** Returns the identifier in a response; see [ClientRequest.idIn]. */
     val idIn: (ResponseHead) -> String? get() = request.idIn
 
     /** Passes the head of a response to the listener; returns false when the response belongs to another request. */
--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -30,6 +30,7 @@
     /** The bytes that were skipped since the current call started. */
     private var skippedBytes = 0L
     private var idleLimitMs = Long.MAX_VALUE
+    private var embeddedHead = EmbeddedHead { null }
     private val record = ConnectionRecord(address)
 
     /** Refuses the bytes that arrive while no call waits, before they are decoded. */
@@ -39,6 +40,7 @@
     fun startCall(next: ActiveCall): Int {
         call = next
         skippedBytes = 0
+        embeddedHead = EmbeddedHead(next.idIn)
         decoder.isHeadCall = next.isHead
         return record.startCall()
     }
@@ -69,7 +71,7 @@
             isSkipping = !receiveHead(current, message)
         }
         if (isSkipping) return skipContent(context, current, message)
-        if (message is HttpContent) current.receiveBody(message.content())
+        if (message is HttpContent && !receiveBody(context, current, message)) return
         // The listener may have cancelled the call while it received the body.
         if (message is LastHttpContent && call === current) completeCall(context, current)
     }
@@ -103,6 +105,25 @@
         return isOwn
     }
 
+    /** Passes a part of the body on; returns false if the call failed since the head of another response is in it. */
+    private fun receiveBody(
+        context: ChannelHandlerContext,
+        current: ActiveCall,
+        message: HttpContent,
+    ): Boolean {
+        val isBroken =
+            embeddedHead.isCompletedBy(message.content()) ||
+                (message is LastHttpContent && embeddedHead.isLeftOpen(decoder.undecoded))
+        if (isBroken) {
+            call = null
+            context.close()
+            current.fail(ClientFailure.Malformed("the body contains the head of another response"))
+        } else {
+            current.receiveBody(message.content())
+        }
+        return !isBroken
+    }
+
     /** Skips a response to another request, up to a limit for each call, since such a response may never end. */
     private fun skipContent(
         context: ChannelHandlerContext,
--- a/net/src/main/kotlin/samphirechute/net/ClientRequest.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientRequest.kt
@@ -27,7 +27,10 @@
     val isExpectedResponse: (ResponseHead) -> Boolean = { true },
     /** Names the request in log lines. */
     val label: String? = null,
-    /** Returns the identifier in a response that is skipped, for log lines. */
+    /**
+     * Returns the identifier in the head of a response, or null if it has none: names a response that is skipped in log
+     * lines, and tells the head of another response in a body from other text.
+     */
     val idIn: (ResponseHead) -> String? = { null },
 ) {
     private companion object {
--- a/net/src/main/kotlin/samphirechute/net/UnaskedAnswer.kt
+++ b/net/src/main/kotlin/samphirechute/net/UnaskedAnswer.kt
@@ -15,7 +15,12 @@
     /** Returns the head that [bytes] begin with, as far as it has arrived, or null if they begin otherwise. */
     fun headOf(bytes: ByteBuf): ResponseHead? {
         val length = minOf(bytes.readableBytes(), MAX_HEAD_BYTES)
-        val lines = bytes.toString(bytes.readerIndex(), length, Charsets.ISO_8859_1).split("\r\n")
+        return headOf(bytes.toString(bytes.readerIndex(), length, Charsets.ISO_8859_1))
+    }
+
+    /** Returns the head that [text] begins with, or null if it begins otherwise. */
+    fun headOf(text: String): ResponseHead? {
+        val lines = text.split("\r\n")
         val status = STATUS_LINE.matchEntire(lines.first())?.groupValues?.get(1) ?: return null
         val fields =
             lines.drop(1).takeWhile { it.isNotEmpty() }.mapNotNull { line ->
