--- a/net/src/main/kotlin/samphirechute/net/EmbeddedHead.kt
+++ b/net/src/main/kotlin/samphirechute/net/EmbeddedHead.kt
@@ -5,7 +5,7 @@
 /**
  * Looks for the head of another response in the body of one. A server that breaks a body off, or ends it with the
  * connection, may write a copy of an earlier response behind it, whose bytes then count as the rest of that body. Only a
- * whole head with an identifier that [idIn] finds is one: a body may quote a status line.
+ * head with an identifier that [idIn] finds is one: a body may quote a status line.
  */
 internal class EmbeddedHead(
     private val idIn: (ResponseHead) -> String?,
