Answer with an error when the head of a response cannot be written

Callers got neither an answer nor an end when a handler gave a header value that the codec refuses. The exchange counted as answered before its head was built, so the error response of the dispatcher had no effect. It now counts as answered once the head is built, and the error takes its place.

The specs of platform/ were not run on this commit.

--- a/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerExchange.kt
@@ -30,6 +30,8 @@
     private val isKeepAlive = HttpUtil.isKeepAlive(reader.head)
     private val isHead = request.method == "HEAD"
     private var writer: BodyWriter? = null
+
+    /** Set once the head is built, so that an error can replace a response whose head the codec refuses. */
     private var isResponseStarted = false
     private var isEnded = false
     private var isClosing = false
@@ -44,10 +46,10 @@
         headers: Map<String, String>,
     ) {
         if (isResponseStarted || isEnded) return
-        isResponseStarted = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         setHeaders(response, contentType, headers)
         HttpUtil.setContentLength(response, body.size.toLong())
+        isResponseStarted = true
         context.write(response)
         releaseBody()
         val bodyWriter = BodyWriter(context.channel(), if (isHead) EMPTY else body, ::complete)
@@ -62,10 +64,10 @@
     ): ResponseStream {
         val newStream = Stream(isOpen = !isResponseStarted && !isEnded)
         if (isResponseStarted || isEnded) return newStream
-        isResponseStarted = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         setHeaders(response, contentType, headers)
         delimitStream(response)
+        isResponseStarted = true
         context.write(response)
         stream = newStream
         newStream.flushSoon()
@@ -79,11 +81,11 @@
     ): ResponseStream {
         val newStream = Stream(isOpen = !isResponseStarted && !isEnded)
         if (isResponseStarted || isEnded) return newStream
-        isResponseStarted = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         fields.forEach { response.headers().add(it.name, it.value) }
         if (closesConnection()) response.headers()[HttpHeaderNames.CONNECTION] = "close"
         if (lengthBytes != null) HttpUtil.setContentLength(response, lengthBytes) else delimitStream(response)
+        isResponseStarted = true
         context.write(response)
         stream = newStream
         newStream.flushSoon()
