Open a new connection for each second sending of a request

Callers lost a stream that its first upstream would have finished: the second sending, in place of a silent upstream or of one that cut the stream, took a used connection on which part of a copy of an older answer was still to come, ended as malformed, and no attempt was left.

Only a sending to an address that the request had been sent to before had a connection of its own. Now each sending after the first one opens a connection, on which no older answer can arrive.

The price is a connection for each second sending. An upstream that is at its limit of connections resets a new one, where a used one would have been served; the silent attempt has been ended by then.

--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -88,15 +88,16 @@
         private set
 
     /**
-     * Sends the request. With [mustRunOnce] it reuses only connections that were idle for a short time. If it [isSentBefore]
-     * to this address, it uses a new connection: on the earlier one, a late copy of the first answer has the same
-     * identifier as the answer to this sending.
+     * Sends the request. With [mustRunOnce] it reuses only connections that were idle for a short time, and with
+     * [usesNewConnection] none, as each sending after the first needs: on the connection of an earlier sending, a late
+     * copy of its answer has the same identifier as the answer to this one, and on any used connection part of a copy
+     * of an older answer may end this sending, after which no other may be allowed.
      */
     fun start(
         address: HostPort,
         dispatch: Dispatch,
         mustRunOnce: Boolean,
-        isSentBefore: Boolean,
+        usesNewConnection: Boolean,
     ) {
         val protocol = context.protocol
         val outgoing =
@@ -106,7 +107,7 @@
                 request.uri,
                 request.body,
                 relayedHeaders = protocol.upstreamHeaders(request, dispatch),
-                useFreshConnection = isSentBefore,
+                useFreshConnection = usesNewConnection,
                 maxIdleMs = if (mustRunOnce) ONCE_IDLE_MS else IDLE_MS,
                 isExpectedResponse = { protocol.readAnswer(it).requestId == requestId },
                 label = requestId.value,
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -1,6 +1,5 @@
 package samphirechute.serving.relay
 
-import samphirechute.core.HostPort
 import samphirechute.core.RequestTrait
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
@@ -49,8 +48,8 @@
     private val isRepeatable = route.repeatability == Repeatability.REPEATABLE
     private val excluded = LinkedHashSet<UpstreamId>()
 
-    /** The addresses of the sendings; a restarted upstream has the address under another identifier. */
-    private val addresses = HashSet<HostPort>()
+    /** True once an attempt was started; the next ones use new connections. */
+    private var isSentBefore = false
     private val timeout: Subscription = context.timer.after(remainingMs()) { onTimeout() }
     private var attempt: Attempt? = null
     private var memory: MemoryHold? = null
@@ -371,8 +370,9 @@
             return onAttemptEnded(next, AttemptResult.NotRun("no_memory", isGone = false, isConnected = true))
         }
         val dispatch = Dispatch(granted.upstream, hold.helpers, remainingMs(), accepted.team?.name, lastEventId)
-        val isSentBefore = !addresses.add(granted.address)
-        next.start(granted.address, dispatch, mustRunOnce = !isRepeatable, isSentBefore)
+        val usesNewConnection = isSentBefore
+        isSentBefore = true
+        next.start(granted.address, dispatch, mustRunOnce = !isRepeatable, usesNewConnection)
     }
 
     /**
