Add a bench of second answers without any stop, on older checkouts too

A second answer comes late, at the next request, right before the next answer or right behind, in up to four pieces, cut, with a piece taken out or overwritten, or with another status. Upstreams record the status of each answer that they begin, callers send some bodies in chunks, more runs fail, and streams are silent for up to 4.5 s. A mixed line names the answers begun, the signature and what the log says of the connection; broken_by_kind counts by promise, route and pair of statuses.

--- a/bench/src/main/kotlin/samphirechute/bench/Main.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/Main.kt
@@ -18,6 +18,7 @@
 import samphirechute.bench.routing.MixBench
 import samphirechute.bench.routing.OverloadBench
 import samphirechute.bench.routing.PlaceBench
+import samphirechute.bench.stops.Beside
 import samphirechute.bench.stops.StopsBench
 import samphirechute.bench.store.Claims
 import samphirechute.bench.store.Recover
@@ -29,6 +30,7 @@
     mapOf(
         "claims" to { Bench { seed, _ -> Claims.run(seed, ::println) } },
         "cold" to ::ColdBench,
+        "copies" to { Bench { seed, _ -> StopsBench(arguments.seconds, Beside.Nothing, arguments.old).run(seed) } },
         "decide" to ::DecideBench,
         "domain" to ::DomainBench,
         "fair" to ::FairBench,
@@ -44,11 +46,11 @@
         "place" to ::PlaceBench,
         "publish" to ::PublishBench,
         "recover" to { Bench { seed, _ -> Recover.run(seed, ::println) } },
-        "stops" to { Bench { seed, _ -> StopsBench(arguments.seconds).run(seed) } },
+        "stops" to { Bench { seed, _ -> StopsBench(arguments.seconds, Beside.Stops, arguments.old).run(seed) } },
     )
 
 /** The benches that last as long as `--seconds` says. */
-private val TIMED = setOf("limits", "stops")
+private val TIMED = setOf("copies", "limits", "stops")
 
 private class BenchArguments {
     @Argument(metaVar = "NAME", required = true, usage = "the bench to run")
@@ -60,11 +62,15 @@
     @Option(
         name = "--old",
         metaVar = "DIR",
-        usage = "of mixed: a checkout of an older revision with built jars (mvn -B -ntp package -DskipTests)",
+        usage = "of mixed, copies and stops: a checkout of an older revision with built jars (mvn -DskipTests package)",
     )
     var old: String? = null
 
-    @Option(name = "--seconds", metaVar = "S", usage = "of limits and stops: how long the run lasts (default 60)")
+    @Option(
+        name = "--seconds",
+        metaVar = "S",
+        usage = "of copies, limits and stops: how long the run lasts (default 60)",
+    )
     var seconds = 60L
 }
 
--- a/bench/src/main/kotlin/samphirechute/bench/stops/Checks.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/Checks.kt
@@ -17,11 +17,14 @@
     val promise: String,
     val call: Call,
     val detail: String = "",
+    /** The difference that the promise forbids, as it is counted. */
+    val kind: String = "",
 )
 
 /** Checks the promises to callers on what a run recorded. */
 internal class Checks(
     private val records: Records,
+    private val attempts: AttemptLog,
 ) {
     fun all(): List<Broken> =
         records.calls.flatMap { call ->
@@ -91,7 +94,7 @@
                 }
 
                 run.status != call.status -> {
-                    "status ${call.status} for ${run.status}"
+                    "status ${call.status} for ${run.status}, answers begun=${run.answers}"
                 }
 
                 run.body != null && call.end == CallEnd.WHOLE && isSuccess && run.body != call.body -> {
@@ -102,7 +105,8 @@
                     null
                 }
             }
-        return problem?.let { Broken("mixed", call, it) }
+        val kind = if (run != null && run.status != call.status) "${call.status}_for_${run.status}" else "other"
+        return problem?.let { Broken("mixed", call, "$it signature=${call.signature} ${attempts.of(call)}", kind) }
     }
 
     private fun order(call: Call): Broken? {
--- a/bench/src/main/kotlin/samphirechute/bench/stops/KeptConnections.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/KeptConnections.kt
@@ -104,19 +104,41 @@
             val deadlineMs = deadlineMs(random, Work.of(path))
             val id = "c${lastRequest.incrementAndGet()}"
             val method = if (body.isEmpty()) "GET" else "POST"
+            val isChunked = random.nextInt(CHUNKED_OF) == 0
             val head =
                 "$method $path HTTP/1.1\r\nHost: ${address.hostString}\r\n${PlatformHeaders.REQUEST_ID}: $id\r\n" +
                     "${PlatformHeaders.CREDENTIAL}: ${PlatformProcesses.KEY}\r\n" +
                     "${PlatformHeaders.DEADLINE_MS}: $deadlineMs\r\n" +
-                    if (body.isEmpty()) "\r\n" else "Content-Length: ${body.length}\r\n\r\n"
+                    framing(body, isChunked)
             val sentMs = clock.nowMs()
             val isHalved = route != RouteOfStops.STREAM && random.nextInt(HALVED_OF) == 0
-            val lastByteMs = write(head, body, if (isHalved) random.nextLong(MAX_HALF_PAUSE_MS) else 0)
+            val lastByteMs =
+                write(
+                    head,
+                    if (isChunked) chunked(body) else body,
+                    if (isHalved) random.nextLong(MAX_HALF_PAUSE_MS) else 0,
+                )
             reader.limit((lastByteMs ?: clock.nowMs()) + deadlineMs + HELD_MS - clock.nowMs())
             calls +=
                 receive(Call(id, path, entry, sentMs, lastByteMs, deadlineMs, null, 0, CallEnd.WHOLE, before = sent++))
         }
 
+        private fun framing(
+            body: String,
+            isChunked: Boolean,
+        ) = when {
+            body.isEmpty() -> "\r\n"
+            isChunked -> "Transfer-Encoding: chunked\r\n\r\n"
+            else -> "Content-Length: ${body.length}\r\n\r\n"
+        }
+
+        private fun chunked(body: String) =
+            if (body.isEmpty()) {
+                ""
+            } else {
+                body.chunked(CHUNK_BYTES).joinToString("") { "${it.length.toString(HEX)}\r\n$it\r\n" } + "0\r\n\r\n"
+            }
+
         /** Returns when the last byte was sent, or null if the connection closed before. */
         private fun write(
             head: String,
@@ -215,6 +237,9 @@
         private const val MAX_THINK_MS = 400L
         private const val MAX_BODY_BYTES = 4_000
         private const val HALVED_OF = 4
+        private const val CHUNKED_OF = 3
+        private const val CHUNK_BYTES = 900
+        private const val HEX = 16
         private const val MAX_HALF_PAUSE_MS = 1_500L
         private const val SLOW_OF = 6
         private const val SLOW_BUFFER_BYTES = 4_096
--- a/bench/src/main/kotlin/samphirechute/bench/stops/Records.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/Records.kt
@@ -24,6 +24,8 @@
     val endMs: Long = Long.MAX_VALUE,
     val end: RunEnd = RunEnd.WORKING,
     val copy: String = "-",
+    /** The statuses of the answers that the upstream began, in their order: two if a copy was written. */
+    val answers: List<Int> = emptyList(),
 )
 
 /** How a request ended for its caller. */
--- a/bench/src/main/kotlin/samphirechute/bench/stops/StopsReport.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/StopsReport.kt
@@ -10,14 +10,16 @@
     private val faults: List<Fault>,
     private val strays: List<String>,
     private val endedByThemselves: List<String>,
+    attempts: AttemptLog,
 ) {
-    private val checks = Checks(records)
+    private val checks = Checks(records, attempts)
 
     /** Returns the number of broken promises. */
     fun report(): Int {
         val calls = records.calls
+        val broken = checks.all()
         val lines =
-            checks.all().sortedBy { it.call.sentMs }.map {
+            broken.sortedBy { it.call.sentMs }.map {
                 "broken=${it.promise} ${describe(
                     it.call,
                 )} ${it.detail}".trim()
@@ -28,8 +30,9 @@
         val whole = calls.filter { it.end == CallEnd.WHOLE }
         println(
             "requests=${calls.size} served=${whole.count { it.status == OK }} " +
-                "upstream_runs=${runs.count { it.hasRun }} written_twice=${runs.count { it.copy != "-" }}",
+                "upstream_runs=${runs.count { it.hasRun }} written_twice=${runs.count { it.answers.size > 1 }}",
         )
+        println("broken_by_kind=${counts(broken, ::kind)}")
         println("not_served_by_status=${counts(whole.filter { it.status != OK }) { status(it) }}")
         println("ends=${counts(calls) { it.end.name.lowercase() }} strays=${strays.size}")
         println(
@@ -50,7 +53,7 @@
         )
         println("stops_with_other_status=${records.stops.filter { it.status != 0 }}")
         println("faults=${faults.sortedBy { it.fromMs }.joinToString(",")}")
-        println("stops: ${lines.size} broken")
+        println("${lines.size} broken")
         return lines.size
     }
 
@@ -68,6 +71,13 @@
     private fun isPastDeadline(call: Call) =
         call.lastByteMs != null && (call.headMs ?: call.endMs) > call.sentMs + call.deadlineMs + KeptConnections.HELD_MS
 
+    private fun kind(broken: Broken) =
+        listOf(
+            broken.promise,
+            Work.of(broken.call.path).route.path,
+            broken.kind,
+        ).filter { it.isNotEmpty() }.joinToString("_")
+
     private fun status(call: Call) = "${call.status}${if (call.signature == null) "" else "_of_upstream"}"
 
     private fun <T> counts(
@@ -100,7 +110,9 @@
         val endMs = if (run.end == RunEnd.WORKING) "-" else seconds(run.endMs - baseMs)
         return "${run.signature} read=${seconds(
             run.readMs - baseMs,
-        )} end=$endMs ${run.end.name.lowercase()} status=${run.status} copy=${run.copy}"
+        )} end=$endMs ${run.end.name.lowercase()} status=${run.status} answers=${run.answers.joinToString(
+            "+",
+        )} copy=${run.copy}"
     }
 
     private fun seconds(ms: Long) = "%.3f".format(Locale.ROOT, ms / MS_PER_SECOND)
--- a/bench/src/main/kotlin/samphirechute/bench/stops/StopsUpstream.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/StopsUpstream.kt
@@ -87,8 +87,15 @@
         private val reader = WireReader(socket)
         private val output = socket.getOutputStream()
 
-        /** Writes the copy of the answer before. */
-        private var owed: () -> Unit = {}
+        /** Writes the copy of the answer before, at its time. */
+        private var owed: Pair<CopyTime, () -> Unit>? = null
+
+        private fun writeOwed(time: CopyTime) {
+            val (due, write) = owed ?: return
+            if (due != time) return
+            owed = null
+            write()
+        }
 
         override fun close() = socket.close()
 
@@ -106,8 +113,8 @@
             val id = head[PlatformHeaders.REQUEST_ID]
             if (id == null) {
                 reader.body(head, false, ByteArrayOutputStream())
-                owed()
-                owed = {}
+                writeOwed(CopyTime.AtNextRequest)
+                writeOwed(CopyTime.AtNextAnswer)
                 output.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".toByteArray())
                 return true
             }
@@ -116,8 +123,7 @@
             records[signature] = Run(id, signature, clock.nowMs())
             try {
                 reader.body(head, false, ByteArrayOutputStream())
-                owed()
-                owed = {}
+                writeOwed(CopyTime.AtNextRequest)
                 val isKept = Answering(head, id, signature, arrival).run()
                 records.computeIfPresent(signature) { _, run -> run.copy(endMs = clock.nowMs(), end = RunEnd.DONE) }
                 return isKept
@@ -158,9 +164,16 @@
                 isRefused: Boolean,
             ) {
                 if (!isRefused) work(if (isStream) FAILS_AFTER_MS else work.lengthMs)
+                begin(status)
                 output.write(answer(status, body))
             }
 
+            /** Records that an answer with [status] begins. */
+            private fun begin(status: Int) {
+                writeOwed(CopyTime.AtNextAnswer)
+                records.computeIfPresent(signature) { _, run -> run.copy(answers = run.answers + status) }
+            }
+
             private fun answer(
                 status: Int,
                 body: String,
@@ -171,6 +184,7 @@
             }
 
             private fun stream() {
+                begin(OK)
                 output.write((head(OK) + STREAM_FIELDS).toByteArray())
                 for (number in afterEvent + 1..work.events) {
                     work(work.pauseMs(number))
@@ -205,7 +219,20 @@
                             ),
                         )
                     }
-                if (stutter.isBeforeNext) owed = { stutter.write(copy, output) } else stutter.write(copy, output)
+                val write = {
+                    records.computeIfPresent(signature) { _, run -> run.copy(answers = run.answers + status) }
+                    stutter.write(copy, output)
+                }
+                when (val time = stutter.time) {
+                    CopyTime.AtNextRequest, CopyTime.AtNextAnswer -> {
+                        owed = time to write
+                    }
+
+                    is CopyTime.After -> {
+                        pause(time.delayMs)
+                        write()
+                    }
+                }
             }
 
             private fun wholeStream(): ByteArray =
--- a/bench/src/main/kotlin/samphirechute/bench/stops/Work.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/Work.kt
@@ -41,7 +41,7 @@
         if (lengthMs > SILENCE_FROM_MS &&
             random.nextInt(SILENT_OF) == 0
         ) {
-            random.nextLong(SILENT_MS.first, SILENT_MS.last)
+            random.nextLong(SILENT_MS.first, minOf(lengthMs, SILENT_MS.last))
         } else {
             0
         }
@@ -70,12 +70,12 @@
             return Work(RouteOfStops.entries.first { it.path == route }, lengthMs.toLong(), variant.toInt())
         }
 
-        private const val SUCCESS_OF = 4
+        private const val SUCCESS_OF = 3
         private val EVENTS = 3..60
         private val PADDING_BYTES = listOf(0, 0, 100, 3_000)
-        private const val SILENCE_FROM_MS = 3_500L
+        private const val SILENCE_FROM_MS = 2_500L
         private const val SILENT_OF = 3
-        private val SILENT_MS = 1_000L..3_000L
+        private val SILENT_MS = 1_000L..4_500L
         private const val UNFRAMED_OF = 20
     }
 }
