--- a/bench/src/main/kotlin/samphirechute/bench/stops/Stutter.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/Stutter.kt
@@ -129,7 +129,7 @@
 
         /** Damage begins before one of these: within the first lines, within the head, or anywhere. */
         private val DAMAGED_BYTES = listOf(24, 60, 200, 4_000)
-        private const val MAX_SPOILED_BYTES = 60
+        private const val MAX_SPOILED_BYTES = 400
         private const val SPOILING = "0 \n:x"
     }
 }
