Find copies in bodies in one pass, in each form that the decoder accepts

Found by the review of the search for another answer's head in a body. It missed heads in other cases or spaces, with a bare line feed, with a space before a colon, and of more than 2,048 bytes. A field "Via: HTTP/1.1 192.168.4.7" passed for a status line. Change: one description of a status line for heads and bodies, whose number is followed by a space or nothing.

--- a/net/src/main/kotlin/samphirechute/net/UnaskedAnswer.kt
+++ b/net/src/main/kotlin/samphirechute/net/UnaskedAnswer.kt
@@ -7,9 +7,7 @@
  * answered a request twice, and with which status the second time.
  */
 internal object UnaskedAnswer {
-    private val STATUS_LINE = Regex("HTTP/\\d\\.\\d (\\d{3})(?: .*)?")
-
-    /** Bytes beyond this are not looked at; heads of upstreams are shorter. */
+    /** Bytes beyond this are not looked at. */
     private const val MAX_HEAD_BYTES = 2_048
 
     /** Returns the head that [bytes] begin with, as far as it has arrived, or null if they begin otherwise. */
@@ -20,13 +18,13 @@
 
     /** Returns the head that [text] begins with, or null if it begins otherwise. */
     fun headOf(text: String): ResponseHead? {
-        val lines = text.split("\r\n")
-        val status = STATUS_LINE.matchEntire(lines.first())?.groupValues?.get(1) ?: return null
+        val lines = text.split('\n').map { it.removeSuffix("\r") }
+        val status = StatusLine.statusOf(lines.first()) ?: return null
         val fields =
             lines.drop(1).takeWhile { it.isNotEmpty() }.mapNotNull { line ->
-                val name = line.substringBefore(':', missingDelimiterValue = "")
+                val name = line.substringBefore(':', missingDelimiterValue = "").trim()
                 HeaderField(name, line.substringAfter(':').trim()).takeIf { name.isNotEmpty() }
             }
-        return ResponseHead(status.toInt(), fields)
+        return ResponseHead(status, fields)
     }
 }
--- a/net/src/test/kotlin/samphirechute/net/CompletedBodySpec.kt
+++ b/net/src/test/kotlin/samphirechute/net/CompletedBodySpec.kt
@@ -50,6 +50,16 @@
         fun `a body does not take in a copy that is broken off in its head`() =
             assertMalformed("${HEAD}Connection: close\r\n\r\nown", laterWire = COPY.substringBefore("Content"))
 
+        /** The decoder accepts these forms, so an upstream may write its copies so. */
+        @Test
+        fun `a body does not take in a copy with an unusual head`() =
+            listOf(
+                "http/1.1 500 Failed\r\nId: copy\r\n\r\n",
+                "HTTP/1.1  500 Failed\r\nId : copy\r\n\r\n",
+                "HTTP/1.1\t500\nId: copy\n\n",
+                "HTTP/1.1 500 \u0085\r\nId: copy\r\nX: ${"x".repeat(3_000)}\r\n\r\n",
+            ).forEach { assertMalformed("${HEAD}Connection: close\r\n\r\nown$it") }
+
         @Test
         fun `an event stream does not take in a late copy`() =
             assertMalformed("${HEAD}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n", laterWire = COPY)
@@ -70,12 +80,26 @@
         fun `a body may quote a head without an identifier`() =
             assertReceived("HTTP/1.1 404 Not Found\r\nServer: x\r\n\r\nHTTP/1.1 200 OK")
 
+        @Test
+        fun `a body may hold many versions and status lines`() =
+            listOf("GET / HTTP/1.1 200\r\n", "HTTP/1.1 404 Not Found\r\n", "HTTP/").forEach {
+                assertReceived(it.repeat(BODY_CHARS / it.length))
+            }
+
+        @Test
+        fun `a field may name a version and an address`() =
+            assertEquals(
+                "200 own",
+                CopyScript("${HEAD}Via: HTTP/1.1 192.168.4.7:80\r\nContent-Length: 3\r\n\r\nown").call().toString(),
+            )
+
         @Test
         fun `a copy may stand behind a body`() = listOf("own", "H", "HTTP").forEach { assertReceived(it, COPY) }
     }
 
     private companion object {
         const val HEAD = "HTTP/1.1 200 OK\r\nId: own\r\n"
+        const val BODY_CHARS = 1_000_000
 
         /** Longer than what is missing in the bodies of these tests. */
         val COPY = "HTTP/1.1 500 Failed\r\nId: copy\r\nContent-Length: 60\r\n\r\n" + "c".repeat(60)
