Open a new connection for second sendings of repeatable requests only

A request that must run once is sent again only after a refusal. An upstream at its limit of connections resets a new one, and the request could not be sent once more, where a used connection would have served it. Found by the review, by reading. The rule that a second sending to the same address has a connection of its own holds as before.

--- a/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Attempt.kt
@@ -89,9 +89,7 @@
 
     /**
      * Sends the request. With [mustRunOnce] it reuses only connections that were idle for a short time, and with
-     * [usesNewConnection] none, as each sending after the first needs: on the connection of an earlier sending, a late
-     * copy of its answer has the same identifier as the answer to this one, and on any used connection part of a copy
-     * of an older answer may end this sending, after which no other may be allowed.
+     * [usesNewConnection] none.
      */
     fun start(
         address: HostPort,
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -1,5 +1,6 @@
 package samphirechute.serving.relay
 
+import samphirechute.core.HostPort
 import samphirechute.core.RequestTrait
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
@@ -48,8 +49,8 @@
     private val isRepeatable = route.repeatability == Repeatability.REPEATABLE
     private val excluded = LinkedHashSet<UpstreamId>()
 
-    /** True once an attempt was started; the next ones use new connections. */
-    private var isSentBefore = false
+    /** The addresses of the sendings; a restarted upstream has the address under another identifier. */
+    private val addresses = HashSet<HostPort>()
     private val timeout: Subscription = context.timer.after(remainingMs()) { onTimeout() }
     private var attempt: Attempt? = null
     private var memory: MemoryHold? = null
@@ -370,9 +371,18 @@
             return onAttemptEnded(next, AttemptResult.NotRun("no_memory", isGone = false, isConnected = true))
         }
         val dispatch = Dispatch(granted.upstream, hold.helpers, remainingMs(), accepted.team?.name, lastEventId)
-        val usesNewConnection = isSentBefore
-        isSentBefore = true
-        next.start(granted.address, dispatch, mustRunOnce = !isRepeatable, usesNewConnection)
+        next.start(granted.address, dispatch, mustRunOnce = !isRepeatable, needsNewConnection(granted.address))
+    }
+
+    /**
+     * Returns whether a sending must not take a used connection. On that of an earlier sending, a late copy of its answer has
+     * the same identifier as the answer to this one. On any other, part of a copy of an older answer may end the second
+     * sending of a repeatable request, after which there is no other. A request that must run once is sent again only
+     * after a refusal, where an upstream at its limit of connections would reset a new one.
+     */
+    private fun needsNewConnection(address: HostPort): Boolean {
+        val isSecond = addresses.isNotEmpty()
+        return !addresses.add(address) || (isRepeatable && isSecond)
     }
 
     /**
