Look for copies in the bodies of plain services, and close order connections

With a connection for each request a service may answer without a length, and two answers before its close became one body where they name the request; such a body is refused now as in the serving relay. Orders to engines had a new connection, but left it in the pool.

--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/ApplicationProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/ApplicationProtocol.kt
@@ -38,6 +38,7 @@
                 EndToEndHeaders.ofRequest(source.headers) + ownHeaders(work),
                 useFreshConnection = true,
                 closesConnection = true,
+                idIn = { it[REQUEST_ID] },
             )
         return ApplicationAttempt(client, request, work, listener)
     }
--- a/daemon/src/main/kotlin/samphirechute/daemon/upstream/OrderProtocol.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/upstream/OrderProtocol.kt
@@ -26,7 +26,15 @@
         val element = json.encodeToJsonElement(UpstreamOrder.serializer(), order.order)
         val body = OrderBody(order.operationId.value, order.fencingNumber, element)
         val bytes = json.encodeToString(OrderBody.serializer(), body).encodeToByteArray()
-        val request = ClientRequest(order.address, "POST", "/v1/orders", bytes, useFreshConnection = true)
+        val request =
+            ClientRequest(
+                order.address,
+                "POST",
+                "/v1/orders",
+                bytes,
+                useFreshConnection = true,
+                closesConnection = true,
+            )
         client.call(request, timeoutMs) { result ->
             result.fold({ onAnswer(answer(it), "status ${it.status}") }, { onAnswer(answer(it), it.message) })
         }
