--- a/bench/src/main/kotlin/samphirechute/bench/stops/Checks.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/Checks.kt
@@ -24,7 +24,8 @@
 /** Checks the promises to callers on what a run recorded. */
 internal class Checks(
     private val records: Records,
-    private val attempts: AttemptLog,
+    /** What the logs say of the sendings of a request, for the detail of a broken promise. */
+    private val sendingsOf: (Call) -> String = { "" },
 ) {
     fun all(): List<Broken> =
         records.calls.flatMap { call ->
@@ -106,7 +107,7 @@
                 }
             }
         val kind = if (run != null && run.status != call.status) "${call.status}_for_${run.status}" else "other"
-        return problem?.let { Broken("mixed", call, "$it signature=${call.signature} ${attempts.of(call)}", kind) }
+        return problem?.let { Broken("mixed", call, "$it signature=${call.signature} ${sendingsOf(call)}", kind) }
     }
 
     private fun order(call: Call): Broken? {
--- a/bench/src/main/kotlin/samphirechute/bench/stops/StopsReport.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/stops/StopsReport.kt
@@ -12,7 +12,7 @@
     private val endedByThemselves: List<String>,
     attempts: AttemptLog,
 ) {
-    private val checks = Checks(records, attempts)
+    private val checks = Checks(records, attempts::of)
 
     /** Returns the number of broken promises. */
     fun report(): Int {
