Log where a configuration stands in the log of the store, and what entries believe it from

Replies between instances carry the position in the log, which older instances ignore. Each line is written once for a revision or a call of an operator, so the volume is bounded. No decision has changed.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -39,6 +39,16 @@
     val status: CommandStatus,
     val result: CommandResult? = null,
     val leader: InstanceId? = null,
+    /** Where the command stands in the log of the instance that committed it. */
+    val position: LogPosition? = null,
+)
+
+/** The last entry of the log that a state results from, and the instance that leads as far as it is known. */
+@Serializable
+data class LogPosition(
+    val index: Long,
+    val term: Long,
+    val leader: InstanceId? = null,
 )
 
 @Serializable
@@ -49,6 +59,7 @@
 data class ReadReply(
     val isConfirmed: Boolean,
     val config: PackedConfig? = null,
+    val position: LogPosition? = null,
 )
 
 /** The drained failure domains, or null if no majority confirms that they are the newest. */
@@ -111,6 +122,8 @@
     val quarantineVersion: Long = 0,
     /** Quarantines of prompts that were decided, probed or lifted. */
     val quarantines: List<QuarantineNotice> = emptyList(),
+    /** Where the store of the control instance stood when it answered. */
+    val position: LogPosition? = null,
 )
 
 /** Asks for the configuration if it is newer than [revision]. */
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -129,6 +129,7 @@
         if (reply.limits.isNotEmpty()) listener.applyLimits(reply.limits)
         if (reply.quarantines.isNotEmpty()) listener.applyQuarantines(reply.quarantines)
         addInstances(reply.members)
+        link.position = reply.position
         reply.config?.let { acceptContent(it, link) }
         fetchNewest()
         updateConfirmed()
@@ -137,6 +138,14 @@
     private fun updateConfirmed() {
         if (isConfirmed || links.values.none { it.isUp && it.isCurrent && it.lastRevision <= listener.revision }) return
         isConfirmed = true
+        val sources = links.values.filter { it.isUp && it.isCurrent && it.lastRevision <= listener.revision }
+        log.event(
+            "configuration_confirmed",
+            mapOf(
+                "revision" to listener.revision,
+                "by" to sources.joinToString(",") { "${it.instance}/${it.position?.term}/${it.position?.index}" },
+            ),
+        )
         onConfirmed()
     }
 
@@ -176,6 +185,20 @@
             log.warn("configuration_damaged", mapOf("from" to source.instance, "revision" to packed?.revision))
             return false
         }
+        if (config.revision > fetchedRevision) {
+            log.event(
+                "configuration_received",
+                mapOf(
+                    "revision" to config.revision,
+                    "held" to listener.revision,
+                    "from" to source.instance,
+                    "current" to source.isCurrent,
+                    "index" to source.position?.index,
+                    "term" to source.position?.term,
+                    "leader" to source.position?.leader,
+                ),
+            )
+        }
         fetchedRevision = maxOf(fetchedRevision, config.revision)
         if (config.revision > listener.revision) listener.applyConfig(config)
         return true
@@ -205,6 +228,9 @@
             private set
         var lastRevision = 0L
             private set
+
+        /** Where the store of the instance stood at its last answer. */
+        var position: LogPosition? = null
         private var incarnation = 0L
         private var recordsVersion = 0L
         private var limitsVersion = 0L
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -13,6 +13,7 @@
 import samphirechute.serving.cluster.CommandStatus
 import samphirechute.serving.cluster.DrainedDomains
 import samphirechute.serving.cluster.DrainsReply
+import samphirechute.serving.cluster.LogPosition
 import samphirechute.serving.cluster.PackedConfig
 import samphirechute.serving.cluster.ReadReply
 import samphirechute.serving.cluster.ServingSettings
@@ -33,6 +34,7 @@
 import samphirechute.state.store.StoreState
 import java.util.UUID
 import kotlin.random.Random
+import samphirechute.state.command.StoreMember as VotingMember
 
 /**
  * A control instance's member of the replicated store. It owns the disk and the Raft node, and forwards commands and
@@ -89,6 +91,9 @@
     val members: List<InstanceId> get() = driver.node.members.map { it.instance }
     val term: Long get() = driver.node.term
 
+    /** The last entry that [state] results from. */
+    val position: LogPosition get() = LogPosition(state.index, state.term, leader)
+
     /** True while this instance leads a majority or has just heard from the leader. */
     val hasLeaderContact: Boolean
         get() = isLeader || (leader != null && timer.nowMs() - lastContactMs <= LEADER_CONTACT_MS)
@@ -96,6 +101,7 @@
     fun start() {
         driver.onApplied = { entries ->
             logMembers(entries)
+            logConfigs(entries)
             onChanged()
         }
         driver.onSnapshotInstalled = { onChanged() }
@@ -126,7 +132,15 @@
         timer.every(MEMBERSHIP_TICK_MS) { membership.tick(driver.node, timer.nowMs()) }
         log.event(
             "store_started",
-            mapOf("disk" to disk.diskId, "index" to state.index, "revision" to state.adopted?.revision),
+            mapOf(
+                "disk" to disk.diskId,
+                "term" to term,
+                "index" to state.index,
+                "revision" to state.adopted?.revision,
+                "last_index" to driver.node.lastIndex,
+                "last_revision" to driver.node.lastLoggedRevision,
+                "voters" to describe(driver.node.members),
+            ),
         )
     }
 
@@ -145,9 +159,9 @@
     /** Commits a configuration; one that is no newer than the committed one counts as done. */
     fun adopt(
         config: AdoptedConfig,
-        onResult: (isDone: Boolean) -> Unit,
+        onResult: (AdoptOutcome) -> Unit,
     ) {
-        if (config.revision <= (state.adopted?.revision ?: 0)) return onResult(true)
+        if (config.revision <= (state.adopted?.revision ?: 0)) return onResult(AdoptOutcome.Held(position))
         submit(Command.AdoptConfig(config.revision, PackedConfig.of(config).packed), onResult)
     }
 
@@ -204,20 +218,20 @@
 
     private fun submit(
         command: Command,
-        onResult: (Boolean) -> Unit,
+        onResult: (AdoptOutcome) -> Unit,
     ) = submitUntil(command, timer.nowMs() + SUBMIT_TIMEOUT_MS, onResult)
 
     /** Retries until the deadline. A command that is committed twice has the effect of one, so a retry is safe. */
     private fun submitUntil(
         command: Command,
         deadlineMs: Long,
-        onResult: (Boolean) -> Unit,
+        onResult: (AdoptOutcome) -> Unit,
     ) {
         val remainingMs = deadlineMs - timer.nowMs()
-        if (remainingMs <= 0) return onResult(false)
+        if (remainingMs <= 0) return onResult(AdoptOutcome.TimedOut(leader))
         submitOnce(command, remainingMs) { reply ->
             when (reply.status) {
-                CommandStatus.COMMITTED -> onResult(true)
+                CommandStatus.COMMITTED -> onResult(AdoptOutcome.Committed(reply.position))
                 else -> timer.after(RETRY_MS) { submitUntil(command, deadlineMs, onResult) }
             }
         }
@@ -238,10 +252,32 @@
     private fun logMembers(entries: List<AppliedEntry>) {
         val changes = entries.filter { it.command is Command.AddMember || it.command is Command.RemoveMember }
         val last = changes.lastOrNull() ?: return
-        val voters = state.members.joinToString(",") { "${it.instance}/${it.diskId}" }
+        val voters = describe(state.members)
         log.event("members_changed", mapOf("index" to last.index, "term" to last.term, "voters" to voters))
     }
 
+    /** On the leader, the line names the disks whose copy made the commit. */
+    private fun logConfigs(entries: List<AppliedEntry>) {
+        for (entry in entries) {
+            val command = entry.command as? Command.AdoptConfig ?: continue
+            val durableOn = driver.node.durableVoters(entry.index)
+            log.event(
+                "configuration_committed",
+                mapOf(
+                    "revision" to command.revision,
+                    "held" to state.adopted?.revision,
+                    "index" to entry.index,
+                    "term" to entry.term,
+                    "leader" to leader,
+                    "durable_on" to durableOn?.let(::describe),
+                    "voters" to describe(driver.node.members),
+                ),
+            )
+        }
+    }
+
+    private fun describe(members: List<VotingMember>) = members.joinToString(",") { "${it.instance}/${it.diskId}" }
+
     private fun proposeLocally(
         command: Command,
         onReply: (CommandReply) -> Unit,
@@ -254,7 +290,8 @@
         onReply(
             when (outcome) {
                 is ProposalOutcome.Committed -> {
-                    val reply = CommandReply(CommandStatus.COMMITTED, outcome.result)
+                    val position = LogPosition(outcome.index, term, leader)
+                    val reply = CommandReply(CommandStatus.COMMITTED, outcome.result, position = position)
                     if (command !is Command.AdoptConfig) return@propose onReply(reply)
                     return@propose afterDelivery(command.revision) { onReply(reply) }
                 }
@@ -279,7 +316,8 @@
 
     private fun readLocally(onResult: (ReadReply) -> Unit) =
         driver.confirmedRead { state ->
-            onResult(ReadReply(state != null, state?.adopted?.let { PackedConfig(it.revision, it.content) }))
+            val config = state?.adopted?.let { PackedConfig(it.revision, it.content) }
+            onResult(ReadReply(state != null, config, position))
         }
 
     private fun readDrainsLocally(onResult: (DrainsReply) -> Unit) =
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
@@ -204,6 +204,7 @@
             limits.changedAfter(knownLimits),
             quarantine.version,
             quarantine.changedAfter(knownQuarantine),
+            store.position,
         )
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -119,7 +119,16 @@
 
     /** Hands the newest trusted configuration to the request handler. */
     private fun applyConfig() {
-        view.config?.takeIf { it.revision != requestHandler.revision && isTrusted() }?.let(requestHandler::applyConfig)
+        val config = view.config?.takeIf { it.revision != requestHandler.revision && isTrusted() } ?: return
+        log.event(
+            "configuration_used",
+            mapOf(
+                "revision" to config.revision,
+                "before" to requestHandler.revision,
+                "trusted_by" to if (watcher.isConfirmed) "confirmation" else "time_since_start",
+            ),
+        )
+        requestHandler.applyConfig(config)
     }
 
     private inner class Listener : WatchListener {
--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -158,11 +158,14 @@
 
     /** The highest index that a majority has on disk, or null if it is not new or not of this term (Raft, 5.4.2). */
     fun committableIndex(): Long? {
-        val onDisk = member.voters.map { if (it.identity == member.identity) member.disk.durableIndex else matchOf(it) }
+        val onDisk = member.voters.map(::durableIndexOf)
         val index = onDisk.sortedDescending().getOrNull(member.majority - 1) ?: return null
         return index.takeIf { it > member.commitIndex && member.log.termAt(it) == term }
     }
 
+    /** The voters that have the log up to [index] on disk. */
+    fun durableVoters(index: Long): List<StoreMember> = member.voters.filter { durableIndexOf(it) >= index }
+
     fun recordJoinRequest(joining: StoreMember) {
         val identity = joining.identity
         recordDisk(identity)
@@ -237,7 +240,8 @@
         return maxOf(last, offsets.sorted()[(offsets.size - 1) / 2] + member.nowMs)
     }
 
-    private fun matchOf(voter: StoreMember) = find(voter.identity)?.matchIndex ?: 0
+    private fun durableIndexOf(voter: StoreMember): Long =
+        if (voter.identity == member.identity) member.disk.durableIndex else find(voter.identity)?.matchIndex ?: 0
 
     private fun find(identity: DiskIdentity): Progress? {
         progress[identity]?.let { return it }
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftLog.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftLog.kt
@@ -27,6 +27,10 @@
     val lastTerm get() = entries.lastOrNull()?.term ?: baseTerm
     val lastAtMs get() = entries.lastOrNull()?.timed?.atMs
 
+    /** The revision of the latest configuration among the entries, or null. */
+    val lastRevision get() =
+        entries.asReversed().firstNotNullOfOrNull { (it.timed.command as? Command.AdoptConfig)?.revision }
+
     /** The current membership, which is that after the latest entry, committed or not. */
     val members get() = membershipChanges.lastOrNull()?.members ?: baseMembers
 
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -51,6 +51,9 @@
     val commitIndex: Long get() = member.commitIndex
     val lastIndex: Long get() = member.log.lastIndex
 
+    /** The newest revision of a configuration in the log, committed or not, or null. */
+    val lastLoggedRevision: Long? get() = member.log.lastRevision ?: state.adopted?.revision
+
     /** On the leader: disk identities by instance that are not in the membership, for the operator to add. */
     val unknownDisks: Map<InstanceId, String> get() = leadership?.unknownDisks.orEmpty()
 
@@ -63,6 +66,9 @@
     /** Asks the leader to remove this member, which is about to stop, on each tick until [hasLeft]. */
     fun leave() = departure.request()
 
+    /** On the leader: the voters that have the log up to [index] on disk; null on any other member. */
+    fun durableVoters(index: Long): List<StoreMember>? = leadership?.durableVoters(index)
+
     /** On the leader: the change of the membership that comes next, if any; at least [minMembers] remain. */
     fun dueChange(minMembers: Int): DueChange? = policy?.due(minMembers)
 
