Lose each unsynced name and write on its own in tests of disks

The folder in memory kept either all names that were not synced or none, and cut only the end of a file. Now a loss of power keeps or loses each creation, renaming and deletion independently, and each write and each change of a length as well; a write may also be cut off or lack its front. It is stricter than before in every outcome: all and none still occur.

When the process is killed and the power is lost during the next start, the disk may not open: that start deletes the old log, or writes the identity, before the name of the new log is durable.

--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
@@ -6,55 +6,57 @@
 import java.io.InputStream
 import kotlin.random.Random
 
-/** A folder in memory that tracks which data is durable, and fails on demand. */
+/** A folder in memory that tracks which data and which names are durable, and fails on demand. */
 internal class MemoryFolder : Folder {
-    private class Content(
-        var bytes: ByteArray = ByteArray(0),
-        var durableLength: Int = 0,
-    )
+    private var visible = mapOf<String, MemoryFile>()
+    private var durable = mapOf<String, MemoryFile>()
 
-    private var visible = mapOf<String, Content>()
-    private var durable = mapOf<String, Content>()
+    /** The creations, renames and deletions since the last sync of the folder. */
+    private val nameChanges = mutableListOf<(MutableMap<String, MemoryFile>) -> Unit>()
     private var isLocked = false
 
     /** The operation to fail, such as `sync`, and how many of its calls succeed before. */
     var failing: Pair<String, Int>? = null
 
+    /** The number of operations after which the process ends with [ProcessEnded]. */
+    var operationsLeft = Int.MAX_VALUE
+
     @Volatile
     var freeBytes = Long.MAX_VALUE
-    val operations = mutableListOf<String>()
     override val path = "memory"
 
     override fun list() = visible.keys.toList()
 
-    override fun size(name: String) = content(name).bytes.size.toLong()
+    override fun size(name: String) = file(name).bytes.size.toLong()
 
-    override fun read(name: String): InputStream = ByteArrayInputStream(content(name).bytes)
+    override fun read(name: String): InputStream = ByteArrayInputStream(file(name).bytes)
 
     override fun append(name: String): AppendFile {
         if (name !in visible) {
             if (freeBytes <= 0) throw IOException("No space left on device")
-            visible = visible + (name to Content())
+            recordOrFail("create")
+            val created = MemoryFile()
+            changeNames { it[name] = created }
         }
-        val content = content(name)
+        val file = file(name)
         return object : AppendFile {
             override fun append(bytes: ByteArray) {
                 recordOrFail("append")
                 val writable = minOf(bytes.size.toLong(), freeBytes).toInt()
-                content.bytes += bytes.copyOf(writable)
+                file.append(bytes.copyOf(writable))
                 freeBytes -= writable
                 if (writable < bytes.size) throw IOException("No space left on device")
             }
 
             override fun truncate(length: Long) {
                 recordOrFail("truncate")
-                content.bytes = content.bytes.copyOf(length.toInt())
-                check(content.durableLength <= length) { "durable bytes are cut off" }
+                check(file.durableLength <= length) { "durable bytes are cut off" }
+                file.truncate(length.toInt())
             }
 
             override fun sync() {
                 recordOrFail("sync")
-                content.durableLength = content.bytes.size
+                file.sync()
             }
 
             override fun close() = Unit
@@ -66,8 +68,7 @@
         length: Long,
     ) {
         recordOrFail("truncate")
-        content(name).bytes = content(name).bytes.copyOf(length.toInt())
-        content(name).durableLength = minOf(content(name).durableLength, length.toInt())
+        file(name).truncate(length.toInt())
     }
 
     override fun rename(
@@ -75,17 +76,23 @@
         to: String,
     ) {
         recordOrFail("rename")
-        visible = visible - from + (to to content(from))
+        val renamed = file(from)
+        changeNames {
+            it -= from
+            it[to] = renamed
+        }
     }
 
     override fun delete(name: String) {
         recordOrFail("delete")
-        visible = visible - name
+        file(name)
+        changeNames { it -= name }
     }
 
     override fun sync() {
         recordOrFail("syncFolder")
         durable = visible
+        nameChanges.clear()
     }
 
     override fun lock(name: String): AutoCloseable? {
@@ -94,31 +101,41 @@
         return AutoCloseable { isLocked = false }
     }
 
-    /**
-     * Simulates a power loss: unsynced names may be lost, and any part of an unsynced tail may remain, damaged or not.
-     */
-    fun crash(random: Random) {
+    /** Simulates the end of the process alone, after which everything that was written is still there. */
+    fun endProcess() {
         isLocked = false
         failing = null
+        operationsLeft = Int.MAX_VALUE
         freeBytes = Long.MAX_VALUE
-        val remaining = if (random.nextBoolean()) durable else visible
-        remaining.values.distinct().forEach { content ->
-            val length = random.nextInt(content.durableLength, content.bytes.size + 1)
-            content.bytes = content.bytes.copyOf(length)
-            if (length > content.durableLength && random.nextBoolean()) {
-                content.bytes[random.nextInt(content.durableLength, length)] = 0
-            }
-            content.durableLength = length
+    }
+
+    /** Simulates a power loss with a random outcome. In some, all changes that were not synced are lost, or none. */
+    fun crash(random: Random) {
+        when (val outcome = random.nextInt(EXTREME_EVERY)) {
+            0, 1 -> crash { outcome }
+            else -> crash { random.nextInt(it) }
         }
-        visible = remaining
-        durable = remaining
+    }
+
+    /**
+     * Simulates a power loss. [choose] selects one of a number of outcomes: each creation, rename or deletion of a file
+     * that was not synced is lost or kept independently, and each change of a file likewise, or it is torn.
+     */
+    fun crash(choose: (outcomes: Int) -> Int) {
+        endProcess()
+        val names = durable.toMutableMap()
+        nameChanges.forEach { change -> if (choose(2) == 1) change(names) }
+        names.values.distinct().forEach { it.crash(choose) }
+        visible = names
+        durable = names
+        nameChanges.clear()
     }
 
     fun flipBit(
         name: String,
         offset: Int,
     ) {
-        val bytes = content(name).bytes
+        val bytes = file(name).bytes
         bytes[offset] = (bytes[offset].toInt() xor 1).toByte()
     }
 
@@ -128,13 +145,26 @@
         return out.toByteArray()
     }
 
-    private fun content(name: String) = visible[name] ?: throw IOException("no file $name")
+    private fun changeNames(change: (MutableMap<String, MemoryFile>) -> Unit) {
+        visible = visible.toMutableMap().also(change)
+        nameChanges += change
+    }
+
+    private fun file(name: String) = visible[name] ?: throw IOException("no file $name")
 
     private fun recordOrFail(operation: String) {
-        operations += operation
+        if (operationsLeft <= 0) throw ProcessEnded()
+        operationsLeft--
         val (name, count) = failing ?: return
         if (name != operation) return
         failing = name to count - 1
         if (count <= 0) throw IOException("$operation failed")
     }
+
+    private companion object {
+        const val EXTREME_EVERY = 6
+    }
 }
+
+/** Ends a process in a test; no [IOException], since nothing in the process may handle it. */
+internal class ProcessEnded : RuntimeException("the process has ended")
