Make the names on a disk durable before a start relies on them

The member is then missing until its disk is wiped.

The start took the newest log that it saw, deleted the older one and wrote the identity, and synced the folder only afterwards. The process before may have ended between the rename of that log and the sync of the folder, so a loss of power could take back the name and keep the deletion. The start now syncs the folder before it reads which files there are. The sync after the deletions is not needed: a file that comes back is older than the current generation and is deleted again.

--- a/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
@@ -161,13 +161,16 @@
 
         /**
          * Creates the first log before the identity, so that an identity without a log always means that the log is
-         * lost. Files left over from an interrupted snapshot are deleted before the log is read.
+         * lost. Files left over from an interrupted snapshot are deleted before the log is read. What an ended process
+         * left is made durable first, because a loss of power could otherwise take back the name of a log and keep a
+         * later change that relies on it.
          */
         private fun openLocked(
             folder: Folder,
             lock: AutoCloseable,
             newDiskId: () -> String,
         ): StoreDisk {
+            syncing(folder, "names", 0) { folder.sync() }
             val generation = folder.list().mapNotNull(::generationOf).maxOrNull()
             val current = generation ?: 0
             val hasIdentity = IDENTITY_FILE in folder.list()
@@ -182,7 +185,6 @@
             }
             val diskId = if (hasIdentity) readIdentity(folder) else writeIdentity(folder, current, newDiskId())
             deleteLeftovers(folder, current)
-            syncing(folder, "names", 0) { folder.sync() }
             val restored = readLog(folder, current, readSnapshot(folder, current))
             val file = folder.append(logName(current))
             // A process that ended before the sync may have left records that are not durable yet.
