Execute all outputs of the store's node when a callback throws

The driver executed the outputs of one input in a row, and the callbacks of listeners and answers among them. When one threw, the outputs behind it were dropped: writes, messages and answers, although the node counts on them. A dropped vote or entry was then confirmed by the next write that the disk finished, so a member could promise what its disk does not hold, and its log had a gap, with which it does not open any more. A disk write that is dropped also kept a leader from writing anything more, and its proposals unanswered.

Each output is now a step of its own in a queue. All steps are executed, and then the first error is thrown to the event loop, which logs it as before. An input from a callback, such as a proposal after a confirmed read, waits in the same queue until the outputs before it are executed. With today's callbacks no write overtook another that way: a leader writes nothing while a write is pending.

--- a/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
@@ -38,6 +38,10 @@
     private var leader: InstanceId? = null
     private val diskWatch = DiskWatch()
 
+    /** What is left to do for the inputs so far, in order. */
+    private val steps = ArrayDeque<() -> Unit>()
+    private var isExecuting = false
+
     var onApplied: (List<AppliedEntry>) -> Unit = {}
     var onSnapshotInstalled: () -> Unit = {}
 
@@ -89,9 +93,29 @@
 
     override fun close() = diskThread.close()
 
+    /**
+     * An input from a callback waits until the outputs of the one before are executed, since writes have an order. If a
+     * callback throws, the outputs behind it are still executed: the node counts on each write and each message.
+     */
     private fun handle(input: RaftInput) {
-        node.handle(input, timer.nowMs()).forEach(::execute)
-        notifyIfLeaderChanged()
+        steps += { process(input) }
+        if (isExecuting) return
+        isExecuting = true
+        val errors = ArrayList<Throwable>()
+        while (steps.isNotEmpty()) runCatching(steps.removeFirst()).onFailure(errors::add)
+        isExecuting = false
+        errors.firstOrNull()?.let { first ->
+            throw first.apply { errors.filter { it !== first }.forEach(::addSuppressed) }
+        }
+    }
+
+    private fun process(input: RaftInput) {
+        node.handle(input, timer.nowMs()).forEach { output -> steps += { execute(output) } }
+        steps += ::notifyIfLeaderChanged
+        steps += ::notifyIfReadabilityChanged
+    }
+
+    private fun notifyIfReadabilityChanged() {
         val isReadableNow = node.readableState(timer.nowMs()) != null
         if (isReadableNow == isReadable) return
         isReadable = isReadableNow
