Fail the disk thread on a write that does not follow the one before

The result of a write confirms all writes before it. If one of them never got to the thread, the node counted it as durable, acknowledged it to the leader, and the log on disk had a gap that a later start reports as corrupt. The thread now takes only writes with consecutive numbers; after a gap it writes nothing more and reports a failure, so that the member ends and starts again with what its disk holds.

StoreDiskSpec, a write that does not follow the one before ends the thread before: the writes 1 and 3 are confirmed by DiskDone; after: DiskFailed

--- a/state/src/main/kotlin/samphirechute/state/disk/DiskThread.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/DiskThread.kt
@@ -11,7 +11,8 @@
 /**
  * Runs the writes of one member on a separate thread. All waiting writes become durable with a single sync. [post] is
  * called on that thread with the result and must pass it to the thread that runs the member. Writes that the disk refuses
- * are tried again in order until it takes them. After any other failure nothing more is written.
+ * are tried again in order until it takes them. After any other failure nothing more is written. A write that does not
+ * follow the one before counts as a failure, since the result of a write also confirms all before it.
  */
 class DiskThread(
     private val disk: StoreDisk,
@@ -22,6 +23,7 @@
     private val closing = CountDownLatch(1)
     private val queue = LinkedBlockingQueue<Job>()
     private val thread = Thread(::run, name).apply { isDaemon = true }
+    private var lastSequence: Long? = null
 
     init {
         thread.start()
@@ -51,6 +53,7 @@
 
     private fun write(writes: List<DiskWrite>): Boolean =
         try {
+            writes.forEach(::checkFollows)
             var rest = writes
             while (rest.isNotEmpty()) {
                 val count = writeNext(rest) ?: return false
@@ -66,6 +69,12 @@
             false
         }
 
+    private fun checkFollows(write: DiskWrite) {
+        val last = lastSequence
+        check(last == null || write.sequence == last + 1) { "write ${write.sequence} does not follow write $last" }
+        lastSequence = write.sequence
+    }
+
     /** Tries until the disk takes the first of [writes], and returns how many; null if this thread is closed before. */
     private fun writeNext(writes: List<DiskWrite>): Int? {
         val startedNs = System.nanoTime()
--- a/state/src/test/kotlin/samphirechute/state/disk/StoreDiskSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/StoreDiskSpec.kt
@@ -343,6 +343,17 @@
             }
         }
 
+        /** Guards against a dropped write that counts as durable because a later one is. */
+        @Test
+        fun `a write that does not follow the one before ends the thread`() {
+            val posted = LinkedBlockingQueue<RaftInput>()
+            DiskThread(open(), post = posted::add).use { thread ->
+                listOf(1L, 3L).forEach { thread.submit(entries(it..it).copy(sequence = it)) }
+            }
+            assertIs<RaftInput.DiskFailed>(posted.last())
+            assertTrue(restored().entries.size <= 1)
+        }
+
         /** Guards against a disk thread that gives up when the disk is full, and one that cannot be closed then. */
         @Test
         fun `a refused write is done once there is room, and closing does not wait for it`() {
