Sync the folders above a new data folder

A control instance whose data folder did not exist created it and never synced its name. A loss of power may then take back the folder with all that was synced in it, so that the member starts with an empty disk and a new identity although its writes were confirmed. If it hits several new machines at once, acknowledged state is lost. Where the data folder exists before the first start, nothing changes.

The folders above each created folder are now synced. What remains: a process that is killed between the two leaves a folder whose name a later start does not sync.

NioFolderSpec records what the real folder asks of the file system.

--- a/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
@@ -16,8 +16,9 @@
 import kotlin.io.path.inputStream
 import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.name
+import kotlin.io.path.notExists
 
-/** A folder in the file system, created if it does not exist. */
+/** A folder in the file system, created durably if it does not exist. */
 class NioFolder(
     private val root: Path,
 ) : Folder {
@@ -25,7 +26,10 @@
     override val usableBytes: Long get() = root.toFile().usableSpace
 
     init {
+        val missing = generateSequence(root.toAbsolutePath()) { it.parent }.takeWhile { it.notExists() }.toList()
         Files.createDirectories(root)
+        // Without this, a loss of power may take a new folder with all that was synced in it.
+        missing.forEach { syncNames(it.parent) }
     }
 
     override fun list(): List<String> = root.listDirectoryEntries().map { it.name }
@@ -52,7 +56,7 @@
 
     override fun delete(name: String) = Files.delete(root.resolve(name))
 
-    override fun sync() = FileChannel.open(root, READ).use { it.force(true) }
+    override fun sync() = syncNames(root)
 
     override fun lock(name: String): AutoCloseable? {
         val channel = FileChannel.open(root.resolve(name), CREATE, WRITE)
@@ -68,6 +72,8 @@
         if (lock == null) channel.close()
         return lock?.let { channel }
     }
+
+    private fun syncNames(folder: Path) = FileChannel.open(folder, READ).use { it.force(true) }
 }
 
 private class NioAppendFile(
