Keep the lock of a data folder when the process opens it again

An attempt to open a folder a second time in one process was refused, but closing the channel of that attempt gave up the lock of the first one, as POSIX locks do. Another process could then open the folder, and two logs could mix. No caller opens a folder twice today.

A process now remembers the lock files that it holds and does not open them again.

NioFolderSpec, another process is refused while the folder is open before: opened after the second attempt; after: refused

--- a/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/NioFolder.kt
@@ -1,9 +1,9 @@
 package samphirechute.state.disk
 
-import java.io.IOException
 import java.io.InputStream
 import java.nio.ByteBuffer
 import java.nio.channels.FileChannel
+import java.nio.channels.FileLock
 import java.nio.channels.OverlappingFileLockException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -12,6 +12,7 @@
 import java.nio.file.StandardOpenOption.CREATE
 import java.nio.file.StandardOpenOption.READ
 import java.nio.file.StandardOpenOption.WRITE
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.io.path.fileSize
 import kotlin.io.path.inputStream
 import kotlin.io.path.listDirectoryEntries
@@ -59,21 +60,42 @@
     override fun sync() = syncNames(root)
 
     override fun lock(name: String): AutoCloseable? {
-        val channel = FileChannel.open(root.resolve(name), CREATE, WRITE)
-        val lock =
-            try {
-                channel.tryLock()
-            } catch (_: OverlappingFileLockException) {
-                null
-            } catch (e: IOException) {
-                channel.close()
-                throw e
+        // Closing any channel of a file gives up all locks of the process on it, so a locked file is not opened again.
+        val key = root.toAbsolutePath().normalize().resolve(name)
+        if (!lockedFiles.add(key)) return null
+        var channel: FileChannel? = null
+        try {
+            channel = openLocked(root.resolve(name))
+        } finally {
+            if (channel == null) lockedFiles.remove(key)
+        }
+        return channel?.let {
+            AutoCloseable {
+                it.close()
+                lockedFiles.remove(key)
             }
-        if (lock == null) channel.close()
+        }
+    }
+
+    private fun openLocked(file: Path): FileChannel? {
+        val channel = FileChannel.open(file, CREATE, WRITE)
+        var lock: FileLock? = null
+        try {
+            lock = channel.tryLock()
+        } catch (_: OverlappingFileLockException) {
+            // This process holds the lock through another path.
+        } finally {
+            if (lock == null) channel.close()
+        }
         return lock?.let { channel }
     }
 
     private fun syncNames(folder: Path) = FileChannel.open(folder, READ).use { it.force(true) }
+
+    private companion object {
+        /** The lock files that this process holds. */
+        val lockedFiles: MutableSet<Path> = ConcurrentHashMap.newKeySet()
+    }
 }
 
 private class NioAppendFile(
--- a/state/src/test/kotlin/samphirechute/state/disk/NioFolderSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/NioFolderSpec.kt
@@ -7,8 +7,10 @@
 import samphirechute.state.store.StoreState
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 
 class NioFolderSpec {
     @TempDir
@@ -70,4 +72,46 @@
             }
         }
     }
+
+    @Nested
+    inner class Locks {
+        /** Guards against two processes that write one log, also after an attempt to open it twice in one process. */
+        @Test
+        fun `another process is refused while the folder is open`() {
+            open(base).use {
+                assertEquals("refused", openElsewhere())
+                assertFailsWith<DiskError.Locked> { open(base) }
+                assertEquals("refused", openElsewhere())
+            }
+            assertEquals("opened", openElsewhere())
+        }
+
+        private fun openElsewhere(): String {
+            val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+            val command =
+                listOf(java, "-cp", System.getProperty("java.class.path"), OpenElsewhere::class.java.name, "$base")
+            val process = ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start()
+            val answer = process.inputStream.bufferedReader().readLine()
+            check(process.waitFor(PROCESS_LIMIT_S, TimeUnit.SECONDS)) { "the other process does not end" }
+            return answer
+        }
+    }
+
+    /** The program of another process, which opens the folder that its argument names. */
+    internal object OpenElsewhere {
+        @JvmStatic
+        fun main(arguments: Array<String>) {
+            val answer =
+                try {
+                    StoreDisk.open(NioFolder(Path.of(arguments.single()))) { "disk-2" }.use { "opened" }
+                } catch (_: DiskError.Locked) {
+                    "refused"
+                }
+            println(answer)
+        }
+    }
+
+    private companion object {
+        const val PROCESS_LIMIT_S = 60L
+    }
 }
