Show configurations that an entry instance never takes from the store

Three tests that fail on the current code. An entry instance follows the first three control instances that answer, also when none of them has contact to the leader: the ones that have it are then never asked. And an exception while an answer is handled ends the polls to that instance, without a log line, or leaves content counted as held that is not in force.

--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -117,6 +117,39 @@
             assertEquals(7, listener.revision)
         }
 
+        /** Guards against an old configuration for good while instances that were removed from the store still answer. */
+        @Test
+        fun `the newest revision is found beside three instances without contact to the leader`() {
+            controls.take(3).forEach {
+                it.config = AdoptedConfig(3, "older")
+                it.isCurrent = false
+            }
+            controls.last().config = CONFIG_7
+            start()
+            await { listener.revision == CONFIG_7.revision }
+        }
+
+        /** Guards against an instance that counts a configuration as held though it never was in force. */
+        @Test
+        fun `a configuration that could not be put in force is fetched again`() {
+            listener.failures = 1
+            controls.forEach { it.config = CONFIG_7 }
+            start()
+            await { listener.revision == CONFIG_7.revision }
+        }
+
+        /** Guards against control instances that are never asked again after one answer could not be handled. */
+        @Test
+        fun `an instance is polled again after its answer could not be handled`() {
+            listener.failures = controls.size
+            controls.forEach {
+                it.config = CONFIG_7
+                it.sendsContent = true
+            }
+            start()
+            await { controls.take(3).all { it.polls > 2 } }
+        }
+
         @Test
         fun `an answer from an instance without contact to the leader confirms nothing`() {
             controls.forEach {
@@ -293,6 +326,7 @@
         override var revision = 0L
         override val drainVersion = 0L
         var canRead = true
+        var failures = 0
         var gone = emptyList<UpstreamRecord>()
 
         override fun departed() = gone
@@ -302,6 +336,7 @@
 
         override fun applyConfig(config: AdoptedConfig) {
             configs += config
+            check(failures-- <= 0) { "the configuration cannot be put in force" }
             if (canRead) revision = config.revision
         }
 
