Follow further control instances beside those without contact to the leader

Callers could get 404 for an acknowledged route for good: an entry instance follows the first three control instances that answer, and the leader that it knows. Three that answer but are out of contact with the leader, as after they were removed or cut off from the majority, took all three places, so the instances with the newest configuration were never asked.

An instance without contact is now treated as a silent one: it is still polled, and another one is followed in addition. Surplus links end with their next poll, as before, once the contact is back.

FollowPolicySpec passes.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/FollowPolicy.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/FollowPolicy.kt
@@ -10,15 +10,18 @@
 internal class FollowPolicy(
     private val isEntry: Boolean,
 ) {
-    /** Chooses from [known], in order. Those in [silent] are still followed, and others are followed in addition. */
+    /**
+     * Chooses from [known], in order. Those in [unusable], which are silent or have no contact to a majority, are still
+     * followed, and others are followed in addition.
+     */
     fun choose(
         known: Collection<InstanceId>,
-        silent: Set<InstanceId>,
+        unusable: Set<InstanceId>,
         leader: InstanceId?,
     ): Set<InstanceId> {
         if (!isEntry) return known.toSet()
-        val answering = known.filter { it !in silent }.take(ENTRY_FOLLOWS)
-        return (answering + silent + listOfNotNull(leader)).toSet()
+        val usable = known.filter { it !in unusable }.take(ENTRY_FOLLOWS)
+        return (usable + unusable + listOfNotNull(leader)).toSet()
     }
 
     private companion object {
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -104,12 +104,12 @@
     }
 
     private fun followedInstances(): Set<InstanceId> {
-        val silent =
+        val unusable =
             links.values
-                .filter { it.isSilent }
+                .filter { it.isSilent || it.isOutOfContact }
                 .map { it.instance }
                 .toSet()
-        return policy.choose(known, silent, leader?.takeIf { it != settings.instance })
+        return policy.choose(known, unusable, leader?.takeIf { it != settings.instance })
     }
 
     /** Notes the leader first, since the choice of instances to follow depends on it. */
@@ -242,6 +242,9 @@
         private var failures = 0
         val isSilent get() = failures > 0
 
+        /** True while the instance answers without contact to a majority, so that it may never learn of changes. */
+        val isOutOfContact get() = isUp && !isCurrent
+
         fun poll() {
             if (instance !in followedInstances()) {
                 links -= instance
