Fetch a configuration again that could not be put in force

An entry instance could stay at an old configuration for good, and refuse acknowledged routes with 404, after one exception while it handled an answer: content counted as held before it was in force, so nobody asked for it again until the next revision; the next poll was scheduled after the answer had been handled, so an exception ended the polls to that instance, and the connection dropped the exception without a log line. ClusterView also named the revision as its own before the placer had taken it.

Content now counts as held once it is in force, the view names a revision last, and an exception is logged (configuration_not_applied, answer_not_handled) while the polls go on.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterView.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterView.kt
@@ -54,9 +54,10 @@
             "configuration_in_force",
             mapOf("revision" to next.revision, "before" to revision, "routes" to next.routes.size),
         )
-        config = next
         placer.setPools(next.pools)
         updatePlacer()
+        // Set last, so that the configuration is applied again if this fails.
+        config = next
     }
 
     private fun updatePlacer() =
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -199,11 +199,36 @@
                 ),
             )
         }
+        if (config.revision > listener.revision && !apply(config, source)) return false
         fetchedRevision = maxOf(fetchedRevision, config.revision)
-        if (config.revision > listener.revision) listener.applyConfig(config)
         return true
     }
 
+    /** Returns false if putting the configuration in force failed, so that it is fetched again. */
+    private fun apply(
+        config: AdoptedConfig,
+        source: Link,
+    ): Boolean =
+        runLogged("configuration_not_applied", source, mapOf("revision" to config.revision)) {
+            listener.applyConfig(config)
+        }
+
+    /** Runs [action]; false if it throws, which is logged, since the polls must go on. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun runLogged(
+        event: String,
+        source: Link,
+        fields: Map<String, Any?> = emptyMap(),
+        action: () -> Unit,
+    ): Boolean =
+        try {
+            action()
+            true
+        } catch (error: Exception) {
+            log.warn(event, mapOf("from" to source.instance) + fields + mapOf("error" to error), error)
+            false
+        }
+
     private fun retryElsewhere(failed: Link) {
         failedSource = failed.instance
         timer.after(FETCH_RETRY_MS) { fetchNewest() }
@@ -293,7 +318,7 @@
             lastRevision = reply.revision
             entryCount.record(reply.entries, reply.isCurrent)
             reportedLeader = reply.leader.takeIf { reply.isCurrent }
-            handleReply(this, reply)
+            runLogged("answer_not_handled", this) { handleReply(this, reply) }
             timer.after(POLL_PAUSE_MS) { poll() }
         }
 
