--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
@@ -114,6 +114,14 @@
         durable = remaining
     }
 
+    /** What a loss of power leaves at this moment if everything that is not synced is lost. */
+    fun durableCopy(): MemoryFolder {
+        val copy = MemoryFolder()
+        copy.durable = durable.mapValues { (_, it) -> Content(it.bytes.copyOf(it.durableLength), it.durableLength) }
+        copy.visible = copy.durable
+        return copy
+    }
+
     fun flipBit(
         name: String,
         offset: Int,
--- a/state/src/test/kotlin/samphirechute/state/sim/FileDisk.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/FileDisk.kt
@@ -27,5 +27,8 @@
         disk = null
     }
 
+    /** What could be restored after a loss of power at this moment, as read from the durable bytes alone. */
+    fun durable(): RestoredLog = StoreDisk.open(folder.durableCopy()) { "unused" }.restored
+
     override fun restore(): RestoredLog = StoreDisk.open(folder) { "unused" }.also { disk = it }.restored
 }
--- a/state/src/test/kotlin/samphirechute/state/sim/RaftNetwork.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/RaftNetwork.kt
@@ -21,11 +21,18 @@
         from: InstanceId,
         to: InstanceId,
         message: RaftMessage,
+    ) = transmit(from, to) { deliver(to, message) }
+
+    /** Calls [onArrival] as often as a message from [from] reaches [to]. */
+    fun transmit(
+        from: InstanceId,
+        to: InstanceId,
+        onArrival: () -> Unit,
     ) {
         if (from to to in cuts || random.nextInt(PERCENT) < lossPercent) return
         val copies = if (random.nextInt(PERCENT) < duplicatePercent) 2 else 1
         repeat(copies) {
-            timer.after(minDelayMs + random.nextLong(maxDelayMs)) { if (from to to !in cuts) deliver(to, message) }
+            timer.after(minDelayMs + random.nextLong(maxDelayMs)) { if (from to to !in cuts) onArrival() }
         }
     }
 
--- a/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
@@ -49,9 +49,11 @@
     fun addNode(
         instance: InstanceId,
         seeds: Set<InstanceId> = initialMembers,
+        canBootstrap: Boolean = true,
     ): SimNode {
         val added = SimNode(instance)
         added.seeds = seeds
+        added.canBootstrap = canBootstrap
         nodes[instance] = added
         return added.apply { start() }
     }
@@ -138,6 +140,12 @@
 
         /** The members that this one is told of when it starts. */
         var seeds = initialMembers
+
+        /** False for a member that may not create the store. */
+        var canBootstrap = true
+
+        /** The longest time that a write takes. */
+        var maxWriteMs = MAX_WRITE_MS
         var disk = newDisk()
         var raft: RaftNode? = null
         var stopped: String? = null
@@ -168,7 +176,7 @@
                 } catch (_: DiskError.WriteRefused) {
                     return timer.after(RETRY_MS) { if (incarnation == current) start() }.let { }
                 }
-            raft = RaftNode(member, seeds, restored, Random(random.nextLong()), nowMs, timings)
+            raft = RaftNode(member, seeds, restored, Random(random.nextLong()), nowMs, timings, canBootstrap)
             tickWhile(current)
         }
 
@@ -269,7 +277,7 @@
 
         private fun scheduleWrite() {
             val current = incarnation
-            timer.after(1 + random.nextLong(MAX_WRITE_MS)) { if (incarnation == current) finishWrite() }
+            timer.after(1 + random.nextLong(maxWriteMs)) { if (incarnation == current) finishWrite() }
         }
 
         private fun finishWrite() {
