--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFile.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFile.kt
@@ -25,6 +25,14 @@
         unsynced.clear()
     }
 
+    /** What a loss of power leaves at this moment if everything that is not synced is lost. */
+    fun durableCopy(): MemoryFile {
+        val copy = MemoryFile()
+        copy.bytes = durable
+        copy.durable = durable
+        return copy
+    }
+
     fun crash(choose: (outcomes: Int) -> Int) {
         bytes = unsynced.fold(durable) { before, change -> change(before, choose) }
         sync()
--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
@@ -134,7 +134,7 @@
     /** What a loss of power leaves at this moment if everything that is not synced is lost. */
     fun durableCopy(): MemoryFolder {
         val copy = MemoryFolder()
-        copy.durable = durable.mapValues { (_, it) -> Content(it.bytes.copyOf(it.durableLength), it.durableLength) }
+        copy.durable = durable.mapValues { (_, it) -> it.durableCopy() }
         copy.visible = copy.durable
         return copy
     }
