--- a/state/src/test/kotlin/samphirechute/state/disk/StoreDiskSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/StoreDiskSpec.kt
@@ -148,6 +148,28 @@
             }
         }
 
+        /** Guards against a member that cannot start, or reads old bytes as entries, after a loss of power in a write. */
+        @Test
+        fun `bytes behind the last whole record are cut off, also behind the first record alone`() {
+            for (confirmed in 0L..2L) {
+                open().use { disk -> if (confirmed > 0) disk.write(listOf(entries(confirmed..confirmed))) }
+                val whole = folder.bytes("log-0")
+                open().use { it.write(listOf(entries(confirmed + 1..confirmed + 3))) }
+                val older = folder.bytes("log-0").drop(whole.size).toByteArray()
+                val random = Random(confirmed)
+                val tails =
+                    listOf(ByteArray(1), ByteArray(older.size), random.nextBytes(older.size)) +
+                        older.indices.flatMap { listOf(older.copyOf(it), older.drop(it + 1).toByteArray()) } +
+                        older.indices.map { at -> older.copyOf(at) + ByteArray(1) + older.drop(at + 1) }
+                for (tail in tails.filter { it.isNotEmpty() && !it.contentEquals(older) }) {
+                    folder.truncate("log-0", whole.size.toLong())
+                    folder.append("log-0").append(tail)
+                    assertEquals((1L..confirmed).toList(), restored().entries.map { it.index })
+                    assertEquals(whole.size.toLong(), folder.size("log-0"))
+                }
+            }
+        }
+
         /** Guards against a silent repair that drops acknowledged entries. */
         @Test
         fun `damage before a valid record is reported with file and offset`() {
