Cut the log back when a sync fails, so that no start confirms what it covered

After a failed sync the process ends, and it has confirmed nothing of the write. But the next process on the same machine still read the record from the cache of the system, synced the log without an error and counted the record as durable. A file system does not write again what a sync failed to write, so a loss of power could take an entry or a vote that the member had confirmed after its restart.

The log is now cut back to its durable length when a sync of it fails. What remains open: a sync that fails during a start, of a record that an ended process had written and not synced, and a failed sync of the folder.

In tests, a failed sync now gives up the changes that it covered: the process still reads them, and no later sync makes them durable. Until then a loss of power keeps or loses them as before, so it is stricter.

--- a/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
+++ b/state/src/main/kotlin/samphirechute/state/disk/StoreDisk.kt
@@ -79,11 +79,24 @@
         if (isTorn) file.truncate(durableBytes)
         isTorn = true
         file.append(record)
-        syncing(folder, step, stepBytes) { file.sync() }
+        try {
+            syncing(folder, step, stepBytes) { file.sync() }
+        } catch (e: DiskError.SyncFailed) {
+            cutBack()
+            throw e
+        }
         isTorn = false
         durableBytes += record.size
     }
 
+    /** Removes what a failed sync covered, since the next start would read it and a later sync would confirm it. */
+    private fun cutBack() =
+        try {
+            file.truncate(durableBytes)
+        } catch (e: IOException) {
+            log.warn("disk_cut_back_failed", mapOf("folder" to folder.path, "reason" to (e.message ?: e)))
+        }
+
     /**
      * Writes the snapshot before the log file, because the existence of a log file makes its generation the current
      * one. Deletes the previous generation last, so that a crash at any point leaves a complete generation.
--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFile.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFile.kt
@@ -5,31 +5,40 @@
     var bytes = ByteArray(0)
         private set
     private var durable = bytes
-    private val unsynced = mutableListOf<(before: ByteArray, choose: (Int) -> Int) -> ByteArray>()
+    private val unsynced = mutableListOf<Change>()
 
     val durableLength get() = durable.size
 
     fun append(added: ByteArray) {
         val offset = bytes.size
         bytes += added
-        if (added.isNotEmpty()) unsynced += { before, choose -> keepWrite(before, offset, added, choose) }
+        if (added.isNotEmpty()) unsynced += Change { before, choose -> keepWrite(before, offset, added, choose) }
     }
 
     fun truncate(length: Int) {
         bytes = bytes.copyOf(length)
-        unsynced += { before, choose -> if (choose(2) == 1) before.copyOf(length) else before }
+        unsynced += Change { before, choose -> if (choose(2) == 1) before.copyOf(length) else before }
     }
 
     fun sync() {
-        durable = bytes
+        durable = unsynced.filter { !it.isGivenUp }.fold(durable) { before, change -> change.keep(before) { 1 } }
         unsynced.clear()
     }
 
+    /** After this, a process still reads the changes so far, but no later sync covers them. */
+    fun failSync() = unsynced.forEach { it.isGivenUp = true }
+
     fun crash(choose: (outcomes: Int) -> Int) {
-        bytes = unsynced.fold(durable) { before, change -> change(before, choose) }
-        sync()
+        durable = unsynced.fold(durable) { before, change -> change.keep(before, choose) }
+        unsynced.clear()
+        bytes = durable
     }
 
+    private class Change(
+        var isGivenUp: Boolean = false,
+        val keep: (before: ByteArray, choose: (Int) -> Int) -> ByteArray,
+    )
+
     private fun keepWrite(
         before: ByteArray,
         offset: Int,
--- a/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
+++ b/state/src/test/kotlin/samphirechute/state/disk/MemoryFolder.kt
@@ -55,7 +55,12 @@
             }
 
             override fun sync() {
-                recordOrFail("sync")
+                try {
+                    recordOrFail("sync")
+                } catch (e: IOException) {
+                    file.failSync()
+                    throw e
+                }
                 file.sync()
             }
 
