--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -150,6 +150,22 @@
             await { controls.take(3).all { it.polls > 2 } }
         }
 
+        /** Guards against an old configuration that a member confirms while it is being filled or has just started. */
+        @Test
+        fun `an instance that is behind the revision in force confirms nothing`() {
+            controls.forEach {
+                it.config = CONFIG_7
+                it.isCurrent = false
+            }
+            controls[1].config = null
+            controls[1].isCurrent = true
+            start()
+            await { listener.configs.isNotEmpty() && controls[1].polls > 2 }
+            assertFalse(onLoop { watcher.isConfirmed })
+            onLoop { controls[1].config = CONFIG_7 }
+            await { watcher.isConfirmed }
+        }
+
         @Test
         fun `an answer from an instance without contact to the leader confirms nothing`() {
             controls.forEach {
