Confirm a configuration only by an instance that names its revision

An entry instance that starts trusts what it fetched as soon as one control instance in contact with the leader names no newer revision. A member that has just started, or whose log is being filled, is in contact and names revision 0 or an old one, so an old configuration from an instance without contact was used at once, and requests on newer routes got 404 instead of waiting.

A configuration is now confirmed by an instance that names exactly its revision; content that is fetched counts as named by the instance that sent it. Control instances, which take no configuration from others, no longer log configuration_confirmed with the largest number as their revision.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -62,7 +62,10 @@
 
     var onLeaderChanged: () -> Unit = {}
 
-    /** True once the newest configuration of an instance that has contact with a majority has been in force here. */
+    /**
+     * True once the newest configuration of an instance that has contact with a majority has been in force here. One
+     * that names an older revision confirms nothing: it has just started, or its log is being filled.
+     */
     var isConfirmed = false
         private set
     var onConfirmed: () -> Unit = {}
@@ -136,9 +139,10 @@
     }
 
     private fun updateConfirmed() {
-        if (isConfirmed || links.values.none { it.isUp && it.isCurrent && it.lastRevision <= listener.revision }) return
+        if (isConfirmed || listener.revision == 0L) return
+        val sources = links.values.filter { it.isUp && it.isCurrent && it.lastRevision == listener.revision }
+        if (sources.isEmpty()) return
         isConfirmed = true
-        val sources = links.values.filter { it.isUp && it.isCurrent && it.lastRevision <= listener.revision }
         log.event(
             "configuration_confirmed",
             mapOf(
@@ -171,6 +175,7 @@
     ) {
         if (!acceptContent(reply.config, source)) return retryElsewhere(source)
         failedSource = null
+        source.noteRevision(reply.config)
         updateConfirmed()
         fetchNewest()
     }
@@ -270,6 +275,11 @@
         /** True while the instance answers without contact to a majority, so that it may never learn of changes. */
         val isOutOfContact get() = isUp && !isCurrent
 
+        /** Notes that the instance holds the content it has sent, which may be newer than its last answer to a poll. */
+        fun noteRevision(sent: PackedConfig?) {
+            lastRevision = maxOf(lastRevision, sent?.revision ?: 0)
+        }
+
         fun poll() {
             if (instance !in followedInstances()) {
                 links -= instance
