Let the caller of a control process choose how its data folder is opened

A bench that plays a loss of power has to know what was synced. SIGKILL keeps the page cache, so killed processes lose nothing. The processes behave as before: WatcherSpec and StartingProcessSpec pass.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ServingSettings.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ServingSettings.kt
@@ -3,6 +3,8 @@
 import samphirechute.core.FailureDomain
 import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
+import samphirechute.state.disk.Folder
+import samphirechute.state.disk.NioFolder
 import java.nio.file.Path
 
 /** The settings of one process: its identity and how it finds the control instances. */
@@ -23,6 +25,8 @@
     val retryFloor: Int = 100,
     /** The number of control instances that may be lost together with their disks at the same time. */
     val toleratedLosses: Int = 1,
+    /** Opens [dataFolder]; benches pass one that records what is durable. */
+    val openFolder: (Path) -> Folder = ::NioFolder,
 ) {
     val instance: InstanceId get() = InstanceId(peerAddress.toString())
 }
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -20,7 +20,6 @@
 import samphirechute.serving.cluster.address
 import samphirechute.serving.cluster.drainedDomains
 import samphirechute.state.command.Command
-import samphirechute.state.disk.NioFolder
 import samphirechute.state.disk.StoreDisk
 import samphirechute.state.host.MembershipManager
 import samphirechute.state.host.RaftDriver
@@ -49,7 +48,7 @@
     // Nothing runs in this process yet, so the start may block until the disk has room.
     private val disk =
         StoreDisk.openWhenRoom(
-            { NioFolder(checkNotNull(settings.dataFolder) { "a control instance needs a data folder" }) },
+            { settings.openFolder(checkNotNull(settings.dataFolder) { "a control instance needs a data folder" }) },
             { UUID.randomUUID().toString() },
             { Thread.sleep(ROOM_RETRY_MS) },
         )
