--- a/bench/src/main/kotlin/samphirechute/bench/Main.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/Main.kt
@@ -4,6 +4,7 @@
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.Option
+import samphirechute.bench.core.CoreBench
 import samphirechute.bench.limits.LimitsBench
 import samphirechute.bench.mixed.MixedBench
 import samphirechute.bench.process.FootprintBench
@@ -31,6 +32,7 @@
         "claims" to { Bench { seed, _ -> Claims.run(seed, ::println) } },
         "cold" to ::ColdBench,
         "copies" to { Bench { seed, _ -> StopsBench(arguments.seconds, Beside.Nothing, arguments.old).run(seed) } },
+        "core" to { Bench { seed, _ -> CoreBench(arguments.seconds).run(seed) } },
         "decide" to ::DecideBench,
         "domain" to ::DomainBench,
         "fair" to ::FairBench,
@@ -50,7 +52,7 @@
     )
 
 /** The benches that last as long as `--seconds` says. */
-private val TIMED = setOf("copies", "limits", "stops")
+private val TIMED = setOf("copies", "core", "limits", "stops")
 
 private class BenchArguments {
     @Argument(metaVar = "NAME", required = true, usage = "the bench to run")
@@ -69,7 +71,7 @@
     @Option(
         name = "--seconds",
         metaVar = "S",
-        usage = "of copies, limits and stops: how long the run lasts (default 60)",
+        usage = "of copies, core, limits and stops: how long the run lasts (default 60)",
     )
     var seconds = 60L
 }
--- a/bench/src/main/kotlin/samphirechute/bench/system/Announcer.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/Announcer.kt
@@ -10,6 +10,7 @@
     private val controls: List<String>,
     announceMs: Long,
     private val slots: Int = SLOTS,
+    private val callMs: Long = CALL_MS,
 ) : AutoCloseable {
     private class Life(
         val port: Int,
@@ -42,7 +43,7 @@
         val record = nextRecord(announced)
         controls.indices.any { turn ->
             val control = controls[(announced.sequence + turn) % controls.size]
-            runCatching { Http.call(control, "PUT", ControlApi.INSTANCES + place.id, record).status }
+            runCatching { Http.call(control, "PUT", ControlApi.INSTANCES + place.id, record, limitMs = callMs).status }
                 .getOrNull() == OK
         }
     }
@@ -54,5 +55,6 @@
     private companion object {
         const val OK = 200
         const val SLOTS = 16
+        const val CALL_MS = 20_000L
     }
 }
--- a/bench/src/main/kotlin/samphirechute/bench/system/Child.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/Child.kt
@@ -29,11 +29,20 @@
     /** The lines of the log since the last start. */
     fun log(): List<String> = if (log.exists()) log.readLines() else emptyList()
 
+    /** The lines of the logs of each start. */
+    fun logsOfAllStarts(): List<List<String>> =
+        (1..starts).map { logFile(it) }.filter { it.exists() }.map { it.readLines() }
+
     /** Ends the process without warning. */
     fun kill() {
         process.destroyForcibly().waitFor(END_SECONDS, TimeUnit.SECONDS)
     }
 
+    /** Ends the process without warning and does not wait for its end, so that several end at the same moment. */
+    fun cutPower() {
+        process.destroyForcibly()
+    }
+
     /** Asks for a planned stop and returns the exit status. */
     fun stop(): Int {
         process.destroy()
@@ -68,9 +77,11 @@
         return process.exitValue() to log().joinToString("\n")
     }
 
+    private fun logFile(start: Int) = logFolder.resolve("$name-${build.name}-$start.log")
+
     private fun start(): Process {
         starts++
-        log = logFolder.resolve("$name-${build.name}-$starts.log")
+        log = logFile(starts)
         val builder =
             ProcessBuilder(launch.command)
                 .directory(launch.workFolder.toFile())
--- a/bench/src/main/kotlin/samphirechute/bench/system/Http.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/Http.kt
@@ -27,7 +27,7 @@
 /** Calls over plain HTTP/1.1 as other programs make them, with a deadline on each. */
 internal object Http {
     private const val CONNECT_SECONDS = 2L
-    private const val CALL_SECONDS = 20L
+    private const val CALL_MS = 20_000L
     private val client =
         HttpClient
             .newBuilder()
@@ -41,11 +41,12 @@
         path: String,
         body: String = "",
         headers: Map<String, String> = emptyMap(),
+        limitMs: Long = CALL_MS,
     ): Answer {
         val request =
             HttpRequest
                 .newBuilder(URI("http://$address$path"))
-                .timeout(Duration.ofSeconds(CALL_SECONDS))
+                .timeout(Duration.ofMillis(limitMs))
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
         headers.forEach { (name, value) -> request.header(name, value) }
         val answer = client.send(request.build(), HttpResponse.BodyHandlers.ofString())
--- a/bench/src/main/kotlin/samphirechute/bench/system/PlatformUpstream.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/PlatformUpstream.kt
@@ -35,9 +35,10 @@
     controls: List<String>,
     announceMs: Long = ANNOUNCE_MS,
     private val observer: UpstreamObserver = UpstreamObserver { _, _, _ -> {} },
+    announceCallMs: Long = ANNOUNCE_CALL_MS,
 ) : AutoCloseable {
     private val workers = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
-    private val announcer = Announcer(place, controls, announceMs)
+    private val announcer = Announcer(place, controls, announceMs, callMs = announceCallMs)
 
     @Volatile private var server = listen(0)
 
@@ -99,6 +100,7 @@
     companion object {
         private const val OK = 200
         private const val ANNOUNCE_MS = 400L
+        private const val ANNOUNCE_CALL_MS = 20_000L
         private const val EVENT_MS = 5L
         private const val EVENTS = 60
 
