Log an exception of code that handles a response

ClientConnection closed the connection and dropped the exception if the call had ended already, as it has when the result of a poll or a fetch is handled. So an entry instance could stop taking configurations without any line. Errors of sockets are reported to their calls and are not logged twice.

--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import samphirechute.core.HostPort
+import samphirechute.core.log.KeyValueLog
+import java.io.IOException
 
 /**
  * The handler of one connection that [HttpClient] opened. It carries one call at a time and returns to the pool when
@@ -165,6 +167,10 @@
         val current = call
         call = null
         context.close()
+        // An error of a socket is reported to its call; any other one was thrown by code that handled a response.
+        if (cause !is IOException) {
+            log.warn("response_handler_failed", mapOf("address" to address, "request" to current?.label), cause)
+        }
         current?.fail(ClientFailure.Closed(cause.message ?: cause.javaClass.simpleName))
     }
 
@@ -208,6 +214,7 @@
     private companion object {
         /** The size of the largest complete response that is accepted; a late copy of one is no larger. */
         const val MAX_SKIPPED_BYTES = 4L * 1024 * 1024
+        val log = KeyValueLog("client")
         const val MS_PER_SECOND = 1_000L
         const val IDLE_MARGIN_MS = 500L
         val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d{1,6})")
