Name a configuration in force only once it is, and leave no step of the store's driver behind

configuration_in_force was written before the placer had taken the configuration, so the line was false just when that threw. The driver's queue of steps would have stayed closed for good if an error had escaped the loop itself.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterView.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterView.kt
@@ -50,12 +50,12 @@
     }
 
     private fun activate(next: ServingConfig) {
+        placer.setPools(next.pools)
+        updatePlacer()
         log.event(
             "configuration_in_force",
             mapOf("revision" to next.revision, "before" to revision, "routes" to next.routes.size),
         )
-        placer.setPools(next.pools)
-        updatePlacer()
         // Set last, so that the configuration is applied again if this fails.
         config = next
     }
--- a/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
@@ -102,8 +102,11 @@
         if (isExecuting) return
         isExecuting = true
         val errors = ArrayList<Throwable>()
-        while (steps.isNotEmpty()) runCatching(steps.removeFirst()).onFailure(errors::add)
-        isExecuting = false
+        try {
+            while (steps.isNotEmpty()) runCatching(steps.removeFirst()).onFailure(errors::add)
+        } finally {
+            isExecuting = false
+        }
         errors.firstOrNull()?.let { first ->
             throw first.apply { errors.filter { it !== first }.forEach(::addSuppressed) }
         }
