Wait longer before each further attempt to put a configuration in force

If putting a configuration in force always throws, an entry instance fetched it again without pause since: each failed fetch started a timer of its own and each answer one more fetch.

WatcherSpec, "a configuration that cannot be put in force is fetched ever more rarely" (at most 10 fetches in 30 polls of each link).

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -4,6 +4,7 @@
 import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
 import samphirechute.core.log.KeyValueLog
+import samphirechute.core.time.Subscription
 import samphirechute.core.time.TimerService
 import samphirechute.net.peer.PeerClient
 import samphirechute.net.peer.PeerError
@@ -74,9 +75,17 @@
     /** The instance from which the last fetch failed; others are tried before it. */
     private var failedSource: InstanceId? = null
 
-    /** The newest revision whose content has arrived, whether or not it could be read. */
+    /** The newest revision whose content is in force here or could not be read. */
     private var fetchedRevision = 0L
 
+    /** The newest revision that has been logged as received, and that as not applied, since both may come again. */
+    private var receivedRevision = 0L
+    private var failedRevision = 0L
+
+    /** How often in a row a configuration could not be put in force, and the wait before the next attempt. */
+    private var applyFailures = 0
+    private var retry: Subscription? = null
+
     private val entryCount = InstanceCount(timer)
 
     /**
@@ -155,7 +164,7 @@
 
     /** Fetches a newer configuration from an instance that names one, avoiding the one that has just failed. */
     private fun fetchNewest() {
-        if (isFetching) return
+        if (isFetching || retry != null) return
         val held = maxOf(listener.revision, fetchedRevision)
         val sources = links.values.filter { it.isUp && it.lastRevision > held }
         val source = sources.firstOrNull { it.instance != failedSource } ?: sources.firstOrNull() ?: return
@@ -180,7 +189,7 @@
         fetchNewest()
     }
 
-    /** Passes a configuration on if it is newer than the one in force; false when it is missing or damaged. */
+    /** Passes a configuration on if it is newer than the one in force; false when it is missing, damaged or not applied. */
     private fun acceptContent(
         packed: PackedConfig?,
         source: Link,
@@ -190,7 +199,8 @@
             log.warn("configuration_damaged", mapOf("from" to source.instance, "revision" to packed?.revision))
             return false
         }
-        if (config.revision > fetchedRevision) {
+        if (config.revision > receivedRevision) {
+            receivedRevision = config.revision
             log.event(
                 "configuration_received",
                 mapOf(
@@ -209,31 +219,46 @@
         return true
     }
 
-    /** Returns false if putting the configuration in force failed, so that it is fetched again. */
+    /** Returns false if putting the configuration in force failed, so that it is fetched again after a growing wait. */
+    @Suppress("TooGenericExceptionCaught")
     private fun apply(
         config: AdoptedConfig,
         source: Link,
-    ): Boolean =
-        runLogged("configuration_not_applied", source, mapOf("revision" to config.revision)) {
-            listener.applyConfig(config)
-        }
-
-    /** Runs [action]; false if it throws, which is logged, since the polls must go on. */
-    @Suppress("TooGenericExceptionCaught")
-    private fun runLogged(
-        event: String,
-        source: Link,
-        fields: Map<String, Any?> = emptyMap(),
-        action: () -> Unit,
     ): Boolean =
         try {
-            action()
+            listener.applyConfig(config)
+            applyFailures = 0
             true
         } catch (error: Exception) {
-            log.warn(event, mapOf("from" to source.instance) + fields + mapOf("error" to error), error)
+            if (config.revision > failedRevision) {
+                failedRevision = config.revision
+                val fields = mapOf("from" to source.instance, "revision" to config.revision, "error" to error)
+                log.warn("configuration_not_applied", fields, error)
+            }
+            retryLater()
             false
         }
 
+    private fun retryLater() {
+        if (retry != null) return
+        retry =
+            timer.after(reconnectDelayMs(++applyFailures, random)) {
+                retry = null
+                fetchNewest()
+            }
+    }
+
+    /** Handles an answer of [link]. An exception is logged, since the polls must go on. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun handleLogged(
+        link: Link,
+        reply: WatchReply,
+    ) = try {
+        handleReply(link, reply)
+    } catch (error: Exception) {
+        log.warn("answer_not_handled", mapOf("from" to link.instance, "error" to error), error)
+    }
+
     private fun retryElsewhere(failed: Link) {
         failedSource = failed.instance
         timer.after(FETCH_RETRY_MS) { fetchNewest() }
@@ -328,7 +353,7 @@
             lastRevision = reply.revision
             entryCount.record(reply.entries, reply.isCurrent)
             reportedLeader = reply.leader.takeIf { reply.isCurrent }
-            runLogged("answer_not_handled", this) { handleReply(this, reply) }
+            handleLogged(this, reply)
             timer.after(POLL_PAUSE_MS) { poll() }
         }
 
--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -166,6 +166,17 @@
             await { watcher.isConfirmed }
         }
 
+        /** Guards against a fleet that fetches a configuration without pause which no instance can put in force. */
+        @Test
+        fun `a configuration that cannot be put in force is fetched ever more rarely`() {
+            listener.failures = Int.MAX_VALUE
+            controls.forEach { it.config = CONFIG_7 }
+            start()
+            await { controls.take(3).all { it.polls > 30 } }
+            val fetches = onLoop { controls.sumOf { it.fetches } }
+            assertTrue(fetches <= 10, "$fetches fetches")
+        }
+
         @Test
         fun `an answer from an instance without contact to the leader confirms nothing`() {
             controls.forEach {
