Confirm a configuration by the leader or by two followers that are not behind

A control instance now says that it is current once it has applied an entry of the current term, which its leader commits after all of earlier terms. An entry instance takes a confirmation from the leader or from two followers that name the revision it holds, and from nobody while an instance in contact names a newer one. Whether the users met this is not known: their control instances named a leader about 0.1 s before the leader had committed its first entry.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -112,7 +112,7 @@
     val drains: DrainedDomains? = null,
     val leader: InstanceId? = null,
     val members: List<InstanceId> = emptyList(),
-    /** True while the instance leads or has just heard from the leader. */
+    /** True while the instance is in contact with the leader and has applied what was committed before its term. */
     val isCurrent: Boolean,
     /** The number of entry instances that follow this control instance. */
     val entries: Int,
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -64,8 +64,8 @@
     var onLeaderChanged: () -> Unit = {}
 
     /**
-     * True once the newest configuration of an instance that has contact with a majority has been in force here. One
-     * that names an older revision confirms nothing: it has just started, or its log is being filled.
+     * True once the configuration in force here was the newest one of the leader, or of several followers in contact with
+     * it, and no instance in contact named a newer one.
      */
     var isConfirmed = false
         private set
@@ -149,8 +149,11 @@
 
     private fun updateConfirmed() {
         if (isConfirmed || listener.revision == 0L) return
-        val sources = links.values.filter { it.isUp && it.isCurrent && it.lastRevision == listener.revision }
-        if (sources.isEmpty()) return
+        val current = links.values.filter { it.isUp && it.isCurrent }
+        val sources = current.filter { it.lastRevision == listener.revision }
+        // A follower may be catching up, so one alone confirms nothing.
+        val isEnough = sources.size >= CONFIRMING_FOLLOWERS || sources.any { it.isLeader }
+        if (!isEnough || current.any { it.lastRevision > listener.revision }) return
         isConfirmed = true
         log.event(
             "configuration_confirmed",
@@ -297,6 +300,9 @@
         private var failures = 0
         val isSilent get() = failures > 0
 
+        /** True if the instance has named itself as the leader. */
+        val isLeader get() = reportedLeader == instance
+
         /** True while the instance answers without contact to a majority, so that it may never learn of changes. */
         val isOutOfContact get() = isUp && !isCurrent
 
@@ -382,6 +388,7 @@
         /** Lets changes that come together share one answer. */
         const val POLL_PAUSE_MS = 20L
         const val FETCH_RETRY_MS = 150L
+        const val CONFIRMING_FOLLOWERS = 2
         const val FORGET_AFTER_FAILURES = 200
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -97,6 +97,12 @@
     val hasLeaderContact: Boolean
         get() = isLeader || (leader != null && timer.nowMs() - lastContactMs <= LEADER_CONTACT_MS)
 
+    /**
+     * True while this instance is in contact with the leader and has applied an entry of the leader's term. Before, its state
+     * may lack what was committed in earlier terms, as after a start or while it catches up.
+     */
+    val isCurrent: Boolean get() = hasLeaderContact && driver.node.hasAppliedTerm
+
     fun start() {
         driver.onApplied = { entries ->
             logMembers(entries)
@@ -255,7 +261,7 @@
         log.event("members_changed", mapOf("index" to last.index, "term" to last.term, "voters" to voters))
     }
 
-    /** On the leader, the line names the disks whose copy made the commit. */
+    /** On the leader, the line also names the voters that have the entry on disk by now. */
     private fun logConfigs(entries: List<AppliedEntry>) {
         for (entry in entries) {
             val command = entry.command as? Command.AdoptConfig ?: continue
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
@@ -169,7 +169,7 @@
     private fun isOutdated(request: WatchRequest) =
         request.incarnation != incarnation || request.recordsVersion < registry.table.version ||
             request.limitsVersion < limits.version || request.quarantineVersion < quarantine.version ||
-            (store.hasLeaderContact && request.leader != store.leader) ||
+            (store.isCurrent && request.leader != store.leader) ||
             request.revision < revision || request.drainVersion < store.state.drainVersion
 
     /** True for an entry instance that lacks only records and limits, which the scheduled update will bring. */
@@ -198,7 +198,7 @@
             drainedDomains().takeIf { it.version > request.drainVersion },
             store.leader,
             store.members,
-            store.hasLeaderContact,
+            store.isCurrent,
             entryCount(),
             limits.version,
             limits.changedAfter(knownLimits),
--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -162,8 +162,28 @@
             start()
             await { listener.configs.isNotEmpty() && controls[1].polls > 2 }
             assertFalse(onLoop { watcher.isConfirmed })
-            onLoop { controls[1].config = CONFIG_7 }
+            onLoop {
+                controls[1].config = CONFIG_7
+                controls[2].isCurrent = true
+            }
+            await { watcher.isConfirmed }
+        }
+
+        /** Guards against an old configuration that a member which is catching up confirms beside others that have a newer one. */
+        @Test
+        fun `a revision is not confirmed while an instance in contact names a newer one`() {
+            controls.forEach {
+                it.config = CONFIG_7
+                it.servesContent = false
+            }
+            controls[0].config = AdoptedConfig(6, "catching up")
+            controls[0].sendsContent = true
+            start()
+            await { listener.revision == 6L && controls.take(3).all { it.polls > 3 } }
+            assertFalse(onLoop { watcher.isConfirmed })
+            onLoop { controls.forEach { it.servesContent = true } }
             await { watcher.isConfirmed }
+            assertEquals(7, listener.revision)
         }
 
         /** Guards against a fleet that fetches a configuration without pause which no instance can put in force. */
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -40,6 +40,9 @@
     /** The state after the last applied entry. It may lag behind the leader's; see [readableState]. */
     val state: StoreState get() = member.state
     val term: Long get() = member.term
+
+    /** True once an entry of the current term is applied, which its leader commits after all entries of earlier terms. */
+    val hasAppliedTerm: Boolean get() = state.term == member.term
     val isLeader: Boolean get() = leadership != null
 
     /** True while the membership contains this member with its current disk. */
