--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -109,7 +109,11 @@
             logConfigs(entries)
             onChanged()
         }
-        driver.onSnapshotInstalled = { onChanged() }
+        driver.onSnapshotInstalled = {
+            val fields = mapOf("index" to state.index, "term" to state.term, "revision" to state.adopted?.revision)
+            log.event("snapshot_installed", fields)
+            onChanged()
+        }
         driver.onAdditionEnded = { ended ->
             val fields = mapOf("instance" to ended.member.instance, "disk" to ended.member.diskId)
             log.event("member_not_added", fields + mapOf("reason" to ended.code, "after_ms" to ended.afterMs))
