--- /dev/null
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlacementAccounts.kt
@@ -0,0 +1,162 @@
+package samphirechute.routing.placing
+
+import samphirechute.core.InstanceId
+import samphirechute.core.RequestId
+import samphirechute.core.UpstreamId
+import samphirechute.routing.quarantine.RequestQuarantine
+
+/**
+ * The granted requests of a [Placer] that have not ended, the load that they put on each upstream, and what is known about
+ * unreachable failure domains.
+ */
+internal class PlacementAccounts(
+    private val quarantine: RequestQuarantine,
+) {
+    private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
+    private val placements = HashMap<RequestId, PlacedRequest>()
+    val linkHealth = LinkHealth()
+
+    val upstreams: Collection<UpstreamLoad> get() = loads.values
+
+    operator fun get(upstream: UpstreamId): UpstreamLoad? = loads[upstream]
+
+    operator fun contains(request: RequestId) = request in placements
+
+    /** Replaces the known upstreams. Upstreams that remain keep their load. */
+    fun setUpstreams(upstreams: List<PlacementTarget>) {
+        val ids = upstreams.map { it.id }.toSet()
+        loads.keys.retainAll(ids)
+        upstreams.forEach { upstream ->
+            val known = loads[upstream.id]
+            if (known == null) loads[upstream.id] = UpstreamLoad(upstream) else known.upstream = upstream
+        }
+    }
+
+    fun commit(
+        request: PlacementRequest,
+        split: EngineSplit,
+        nowMs: Long,
+    ) {
+        // A request runs on one upstream at a time, but the report on the end of its last attempt may not have arrived.
+        placements[request.request]?.let { release(it, nowMs) }
+        val gapMs = request.targetGapMs ?: Long.MAX_VALUE
+        val headTokens = request.promptTokens + request.answerTokens - split.reservedTokens.values.sum()
+        split.engines.forEachIndexed { index, load ->
+            val isHead = index == 0
+            val memory = if (isHead) headTokens else split.reservedTokens[load] ?: 0L
+            val job = UpstreamLoad.Job(isHead, split.partMs, memory, gapMs, nowMs, split.firstEventMs, request.weight)
+            load.add(request.request, job, nowMs)
+        }
+        split.engines.forEach { linkHealth.recordAttempt(request.failureDomain, it.upstream.failureDomain, nowMs) }
+        val head =
+            split.engines
+                .first()
+                .upstream.id
+        placements[request.request] =
+            PlacedRequest(request, head, split.engines, nowMs, nowMs + request.deadlineMs + END_GRACE_MS)
+    }
+
+    /** Releases a request that has ended at [upstream] and returns it, or null if it does not run there. */
+    fun end(
+        request: RequestId,
+        upstream: UpstreamId,
+        nowMs: Long,
+    ): PlacementRequest? {
+        val record = placements[request]?.takeIf { it.head == upstream } ?: return null
+        release(record, nowMs)
+        return record.request
+    }
+
+    fun release(
+        request: RequestId,
+        nowMs: Long,
+    ) {
+        placements[request]?.let { release(it, nowMs) }
+    }
+
+    /** Releases the requests of instances that are gone. */
+    fun forget(
+        isGone: (InstanceId) -> Boolean,
+        nowMs: Long,
+    ) {
+        placements.values.filter { isGone(it.request.instance) }.forEach { release(it, nowMs) }
+    }
+
+    /** Releases the requests of [instance] that are not among [running], see [Placer.retain]. */
+    fun retain(
+        instance: InstanceId,
+        running: Set<RequestId>,
+        nowMs: Long,
+    ) {
+        placements.values
+            .filter {
+                it.request.instance == instance && it.request.request !in running &&
+                    nowMs - it.placedMs > GRANT_DELIVERY_MS
+            }.forEach { release(it, nowMs) }
+    }
+
+    /** Releases the requests whose end was never reported, once their deadline has passed. */
+    fun releaseOverdue(nowMs: Long) {
+        placements.values.filter { nowMs > it.untilMs }.forEach { release(it, nowMs) }
+    }
+
+    /** Updates what is known about the upstream and the links to it after the end of an attempt. */
+    fun recordOutcome(
+        result: PlacementResult,
+        nowMs: Long,
+    ) {
+        val load = loads[result.upstream] ?: return
+        val firstByteMs = result.firstByteMs
+        when (result.outcome) {
+            PlacementOutcome.FAILED, PlacementOutcome.GONE -> {
+                load.recordFailure(nowMs)
+            }
+
+            PlacementOutcome.UNREACHABLE -> {
+                load.recordFailure(nowMs)
+                result.from?.let { linkHealth.recordFailure(it, load.upstream, nowMs) }
+            }
+
+            PlacementOutcome.STALLED -> {
+                load.recordStall(nowMs)
+            }
+
+            PlacementOutcome.REFUSED -> {
+                load.recordRefusal(nowMs)
+            }
+
+            PlacementOutcome.DONE, PlacementOutcome.CANCELLED -> {
+                if (firstByteMs != null) {
+                    placements[result.request]?.let { quarantine.recordAlive(load.upstream.id, it.placedMs) }
+                    load.recordAnswer(firstByteMs, nowMs)
+                    result.from?.let { linkHealth.recordSuccess(it, load.upstream) }
+                }
+            }
+        }
+    }
+
+    private fun release(
+        record: PlacedRequest,
+        nowMs: Long,
+    ) {
+        placements.remove(record.request.request)
+        record.engines.forEach { it.remove(record.request.request, nowMs) }
+    }
+
+    /** A granted request that has not ended. [untilMs] is the time at which it is released without a report. */
+    private class PlacedRequest(
+        val request: PlacementRequest,
+        val head: UpstreamId,
+        val engines: List<UpstreamLoad>,
+        val placedMs: Long,
+        val untilMs: Long,
+    )
+
+    private companion object {
+        /** Time after the deadline of a request in which the report on its end may still arrive. */
+        const val END_GRACE_MS = 1_000L
+
+        /** Upper bound on the time that a grant takes to reach its instance. */
+        const val GRANT_DELIVERY_MS = 500L
+    }
+}
