Tell instances which engines are busy, for the time without a coordinator

An instance that places by itself knows only its own requests. The leader now names the engines with long prefill in its answers to watch requests, at most 40 and once a second, and a placer without coordinator counts that prefill until it is done.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlacementAccounts.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlacementAccounts.kt
@@ -32,6 +32,23 @@
         }
     }
 
+    /** The engines with the longest prefill left, up to [MAX_BUSY]. */
+    fun busyUpstreams(nowMs: Long): List<BusyUpstream> =
+        loads.values
+            .filter { it.hasLongPrefill(nowMs) }
+            .sortedByDescending { it.prefillWaitMs(nowMs) }
+            .take(MAX_BUSY)
+            .map { BusyUpstream(it.upstream.id, it.prefillWaitMs(nowMs).toLong()) }
+
+    /** Replaces what was reported about the prefill of other instances. */
+    fun setBusyUpstreams(
+        busy: List<BusyUpstream>,
+        nowMs: Long,
+    ) {
+        val prefillMs = busy.associate { it.upstream to it.prefillMs }
+        loads.values.forEach { it.recordReportedPrefill(prefillMs[it.upstream.id] ?: 0, nowMs) }
+    }
+
     fun commit(
         request: PlacementRequest,
         split: EngineSplit,
@@ -153,6 +170,9 @@
     )
 
     private companion object {
+        /** Bounds the list, which every instance gets once a second, to about 2 KB. */
+        const val MAX_BUSY = 40
+
         /** Time after the deadline of a request in which the report on its end may still arrive. */
         const val END_GRACE_MS = 1_000L
 
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -158,6 +158,15 @@
         }
     }
 
+    /** Returns the engines with long prompts left to prefill, for instances that may have to place by themselves. */
+    fun busyUpstreams(nowMs: Long): List<BusyUpstream> = accounts.busyUpstreams(nowMs)
+
+    /** Takes in the list of a coordinator, which replaces the one before. */
+    fun setBusyUpstreams(
+        busy: List<BusyUpstream>,
+        nowMs: Long,
+    ) = accounts.setBusyUpstreams(busy, nowMs)
+
     /** Returns the number of requests that [upstream] answers; prompts that it only helps with are not counted. */
     fun runningOn(upstream: UpstreamId): Int = accounts[upstream]?.running ?: 0
 
--- a/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
@@ -15,6 +15,9 @@
     private val recentGrantsMs = ArrayDeque<Long>()
     private var prefillDoneMs = 0.0
 
+    /** The same for prefill that others placed here, as the coordinator reported it. */
+    private var reportedPrefillDoneMs = 0.0
+
     /** Until this time the upstream gets no requests, if others are open. Set after failures. */
     var pausedUntilMs = 0L
         private set
@@ -51,7 +54,15 @@
     fun hasLongPrefill(nowMs: Long) = prefillWaitMs(nowMs) > LONG_PREFILL_MS
 
     /** Returns the time until all prefill placed here is done. */
-    fun prefillWaitMs(nowMs: Long) = max(0.0, prefillDoneMs - nowMs)
+    fun prefillWaitMs(nowMs: Long) = max(0.0, max(prefillDoneMs, reportedPrefillDoneMs) - nowMs)
+
+    /** Takes in that a coordinator expects the prefill placed here by all instances to take [prefillMs] more. */
+    fun recordReportedPrefill(
+        prefillMs: Long,
+        nowMs: Long,
+    ) {
+        reportedPrefillDoneMs = (nowMs + prefillMs).toDouble()
+    }
 
     /**
      * Returns whether no prefill is left. A prefill begins with the next pass of the decoding requests and ends within
@@ -61,7 +72,7 @@
     fun isPrefillDone(
         profile: EngineProfile,
         nowMs: Long,
-    ) = jobs.isEmpty() || nowMs >= prefillDoneMs + passMs(profile) + SETTLE_MS
+    ) = nowMs >= reportedPrefillDoneMs && (jobs.isEmpty() || nowMs >= prefillDoneMs + passMs(profile) + SETTLE_MS)
 
     fun passMs(profile: EngineProfile) = profile.passMs(running, memoryTokens)
 
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -8,6 +8,7 @@
 import samphirechute.core.RequestId
 import samphirechute.core.UpstreamId
 import samphirechute.net.peer.PeerRoute
+import samphirechute.routing.placing.BusyUpstream
 import samphirechute.routing.placing.Placement
 import samphirechute.routing.placing.PlacementRequest
 import samphirechute.routing.placing.PlacementResult
@@ -124,6 +125,8 @@
     val quarantines: List<QuarantineNotice> = emptyList(),
     /** Where the store of the control instance stood when it answered. */
     val position: LogPosition? = null,
+    /** Engines with long prompts left to prefill; null from an instance that does not place for all. */
+    val busy: List<BusyUpstream>? = null,
 )
 
 /** Asks for the configuration if it is newer than [revision]. */
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -8,6 +8,7 @@
 import samphirechute.core.time.TimerService
 import samphirechute.net.peer.PeerClient
 import samphirechute.net.peer.PeerError
+import samphirechute.routing.placing.BusyUpstream
 import samphirechute.state.store.AdoptedConfig
 import kotlin.random.Random
 
@@ -31,6 +32,8 @@
 
     fun applyQuarantines(quarantines: List<QuarantineNotice>) = Unit
 
+    fun applyBusy(busy: List<BusyUpstream>) = Unit
+
     /** The quarantines of prompts that this instance knows. */
     fun quarantines(): List<QuarantineNotice> = emptyList()
 
@@ -140,6 +143,7 @@
         if (reply.records.isNotEmpty()) listener.applyRecords(reply.records)
         if (reply.limits.isNotEmpty()) listener.applyLimits(reply.limits)
         if (reply.quarantines.isNotEmpty()) listener.applyQuarantines(reply.quarantines)
+        reply.busy?.let(listener::applyBusy)
         addInstances(reply.members)
         link.position = reply.position
         reply.config?.let { acceptContent(it, link) }
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -53,7 +53,10 @@
     private val view = ClusterView(reader, timer, placer)
     val registry: UpstreamRegistry =
         UpstreamRegistry(timer, settings.announceEveryMs, view::isConfigured, ::upstreamsChanged)
-    private val watchServer = WatchServer(timer, store, registry, limits, quarantine, incarnation)
+    private val watchServer =
+        WatchServer(timer, store, registry, limits, quarantine, incarnation) {
+            if (store.isLeader) placer.busyUpstreams(timer.nowMs()) else null
+        }
     private val placements =
         PlacementCoordinator(
             timer,
--- a/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/WatchServer.kt
@@ -5,6 +5,7 @@
 import samphirechute.core.time.TimerService
 import samphirechute.net.peer.PeerApi
 import samphirechute.net.peer.PeerExchange
+import samphirechute.routing.placing.BusyUpstream
 import samphirechute.serving.cluster.ClusterRoutes
 import samphirechute.serving.cluster.ConfigReply
 import samphirechute.serving.cluster.DrainedDomains
@@ -25,6 +26,8 @@
     private val limits: LimitRegistry,
     private val quarantine: QuarantineRegistry,
     private val incarnation: Long,
+    /** Returns the engines with long prompts left to prefill, or null while this instance does not place for all. */
+    private val busyUpstreams: () -> List<BusyUpstream>? = { null },
 ) {
     /** The requests that wait for an answer, at most one for each instance. */
     private val longPolls = LinkedHashMap<InstanceId, LongPoll>()
@@ -205,6 +208,7 @@
             quarantine.version,
             quarantine.changedAfter(knownQuarantine),
             store.position,
+            if (request.isEntry) busyUpstreams() else null,
         )
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -8,6 +8,7 @@
 import samphirechute.net.peer.PeerClient
 import samphirechute.routing.flow.RetryBudget
 import samphirechute.routing.limit.UpstreamLimits
+import samphirechute.routing.placing.BusyUpstream
 import samphirechute.routing.placing.Placer
 import samphirechute.routing.quarantine.RequestQuarantine
 import samphirechute.serving.cluster.ClusterView
@@ -152,6 +153,8 @@
             this@EntryNode.limits.merge(limits)
         }
 
+        override fun applyBusy(busy: List<BusyUpstream>) = placer.setBusyUpstreams(busy, timer.nowMs())
+
         override fun applyQuarantines(quarantines: List<QuarantineNotice>) = quarantine.merge(quarantines)
 
         override fun quarantines() = quarantine.all()
