--- a/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/AttemptResult.kt
@@ -36,6 +36,11 @@
             reason,
         )
 
+    /** A helper did not reserve its part of the memory, so the request was not sent; the upstream itself is not at fault. */
+    class NoMemory(
+        val failure: ReservationFailure,
+    ) : AttemptResult(PlacementOutcome.CANCELLED, "no_memory")
+
     /** The upstream may have run the request, but its answer is lost or invalid. */
     class Lost(
         reason: String,
--- a/serving/src/main/kotlin/samphirechute/serving/relay/MemoryHold.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/MemoryHold.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import samphirechute.core.RequestId
+import samphirechute.core.UpstreamId
 import samphirechute.core.time.Subscription
 import samphirechute.net.ClientRequest
 import samphirechute.routing.placing.PlacedHelper
@@ -16,7 +17,7 @@
     private val context: RelayContext,
     requestId: RequestId,
     send: Int,
-    placed: List<PlacedHelper>,
+    private val placed: List<PlacedHelper>,
 ) {
     val helpers: List<Helper> =
         placed.mapIndexed { index, helper ->
@@ -27,21 +28,27 @@
             )
         }
     private val holders = helpers.filter { it.reservation != null }
-    private var grantedCount = 0
+    private var failure: ReservationFailure? = null
     private var isEnded = false
     private var renewal: Subscription? = null
 
-    /** Reserves memory on all holders. [onResult] receives whether all granted it; if not, all of it is released. */
-    fun acquire(onResult: (Boolean) -> Unit) {
-        if (holders.isEmpty()) return onResult(true)
+    /**
+     * Reserves memory on all holders. [onResult] receives null if all granted it; if not, all of it is released, and
+     * [onResult] receives the first failure.
+     */
+    fun acquire(onResult: (ReservationFailure?) -> Unit) {
+        if (holders.isEmpty()) return onResult(null)
         var answers = 0
-        for (holder in holders) {
-            reserve(holder) { isGranted ->
-                if (isGranted) grantedCount++
+        helpers.zip(placed).filter { (helper, _) -> helper in holders }.forEach { (holder, target) ->
+            reserve(holder) { reply ->
+                if (reply != Reply.GRANTED && failure == null) {
+                    failure = ReservationFailure(target.upstream, isReached = reply == Reply.REFUSED)
+                }
                 if (++answers < holders.size) return@reserve
-                val allGranted = grantedCount == holders.size && !isEnded
-                if (allGranted) renewal = context.timer.every(RENEW_MS) { renew() } else release()
-                onResult(allGranted)
+                val isHeld = failure == null && !isEnded
+                if (isHeld) renewal = context.timer.every(RENEW_MS) { renew() } else release()
+                // A hold that was released meanwhile belongs to an attempt that has ended, which ignores the result.
+                onResult(failure)
             }
         }
     }
@@ -58,27 +65,36 @@
 
     private fun reserve(
         holder: Helper,
-        onResult: (Boolean) -> Unit,
+        onResult: (Reply) -> Unit,
     ) {
         val reservation = holder.reservation ?: return
-        call(context.protocol.reserve(holder.address, reservation, HOLD_MS)) { isGranted ->
-            if (!isGranted) {
-                context.log.event("reserve_failed", mapOf("reservation" to reservation.id, "address" to holder.address))
+        call(context.protocol.reserve(holder.address, reservation, HOLD_MS)) { reply ->
+            if (reply != Reply.GRANTED) {
+                context.log.event(
+                    "reserve_failed",
+                    mapOf(
+                        "reservation" to reservation.id,
+                        "address" to holder.address,
+                        "tokens" to reservation.tokens,
+                        "reply" to reply.name.lowercase(),
+                    ),
+                )
             }
-            onResult(isGranted)
+            onResult(reply)
         }
     }
 
     private fun call(
         request: ClientRequest,
-        onResult: (Boolean) -> Unit,
+        onResult: (Reply) -> Unit,
     ) {
-        context.client.call(
-            request,
-            TIMEOUT_MS,
-        ) { result -> result.fold({ onResult(it.status == OK) }, { onResult(false) }) }
+        context.client.call(request, TIMEOUT_MS) { result ->
+            result.fold({ onResult(if (it.status == OK) Reply.GRANTED else Reply.REFUSED) }, { onResult(Reply.NONE) })
+        }
     }
 
+    private enum class Reply { GRANTED, REFUSED, NONE }
+
     private companion object {
         const val OK = 200
 
@@ -88,3 +104,9 @@
         const val TIMEOUT_MS = 600L
     }
 }
+
+/** A helper that did not reserve memory for a request: it refused, or it could not be reached. */
+internal class ReservationFailure(
+    val upstream: UpstreamId,
+    val isReached: Boolean,
+)
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -68,6 +68,9 @@
     private var firstByteMs: Long? = null
     private var sends = 0
 
+    /** The sends that never reached an upstream; they do not count as sends, but have their own limit. */
+    private var unsent = 0
+
     /** True if the coordinator has to know when the answer to the current attempt gets beyond its beginning. */
     private var isWatched = false
 
@@ -243,7 +246,7 @@
         attempt = next
         val hold = MemoryHold(context, requestId, sends, granted.helpers)
         memory = hold
-        hold.acquire { isGranted -> if (attempt === next) send(next, granted, hold, isGranted) }
+        hold.acquire { failure -> if (attempt === next) send(next, granted, hold, failure) }
     }
 
     /** Rejects a placement of a prompt that is in quarantine here, which the coordinator did not know when it granted it. */
@@ -365,11 +368,9 @@
         next: Attempt,
         granted: Placement.Granted,
         hold: MemoryHold,
-        isGranted: Boolean,
+        failure: ReservationFailure?,
     ) {
-        if (!isGranted) {
-            return onAttemptEnded(next, AttemptResult.NotRun("no_memory", isGone = false, isConnected = true))
-        }
+        if (failure != null) return onAttemptEnded(next, AttemptResult.NoMemory(failure))
         val dispatch = Dispatch(granted.upstream, hold.helpers, remainingMs(), accepted.team?.name, lastEventId)
         next.start(granted.address, dispatch, mustRunOnce = !isRepeatable, needsNewConnection(granted.address))
     }
@@ -412,6 +413,7 @@
             is AttemptResult.Answered -> onAnswered(target, result)
             is AttemptResult.StreamEnded -> onStreamEnded()
             is AttemptResult.NotRun -> onNotRun(target, result)
+            is AttemptResult.NoMemory -> onNoMemory(result)
             is AttemptResult.Lost -> onLost(target, result.label)
         }
     }
@@ -454,7 +456,7 @@
                 is AttemptResult.Lost -> lossOf(ended).takeIf { result.isBrokenOff }
                 is AttemptResult.Answered -> RunOutcome.SOUND.takeIf { result.head.status < FIRST_FAILURE }
                 is AttemptResult.StreamEnded -> RunOutcome.SOUND
-                is AttemptResult.NotRun -> null
+                is AttemptResult.NotRun, is AttemptResult.NoMemory -> null
             }
         outcome?.let { observeRun(target, ended, it) }
     }
@@ -534,9 +536,19 @@
             excluded += it
         }
         // A request that never reached an upstream added no load, so its retry is not charged to the budget.
+        if (!result.isConnected) unsent++
         retry(target, result.label, isFree = !result.isConnected)
     }
 
+    /** Places the request again without the helper that lacks the memory; nothing was sent to the upstream. */
+    private fun onNoMemory(result: AttemptResult.NoMemory) {
+        unsent++
+        val helper = result.failure.upstream
+        val outcome = if (result.failure.isReached) PlacementOutcome.REFUSED else PlacementOutcome.UNREACHABLE
+        context.placementClient.reportEnd(placementResult(helper, outcome, null))
+        retry(helper, result.label, isFree = true)
+    }
+
     private fun onLost(
         target: UpstreamId,
         reason: String,
@@ -574,7 +586,9 @@
         }
     }
 
-    private fun maySendAgain() = sends < route.maxAttempts + EXTRA_SENDS_IF_NOT_RUN && remainingMs() > MIN_REMAINING_MS
+    private fun maySendAgain() =
+        sends - unsent < route.maxAttempts + EXTRA_SENDS_IF_NOT_RUN && unsent <= MAX_UNSENT &&
+            remainingMs() > MIN_REMAINING_MS
 
     private fun mayRunAgain() = runs < route.maxAttempts && canContinue
 
@@ -717,6 +731,12 @@
         const val RETRY_AFTER_MS = 500L
         const val MAX_LOGGED_PARTS = 16
 
+        /**
+         * Attempts that may fail before anything is sent. When a failure domain is lost, several engines that were placed
+         * cannot be reached; each attempt takes 400 ms at most, and the deadline ends them all.
+         */
+        const val MAX_UNSENT = 8
+
         /** Sends beyond the limit of the route, for attempts in which the upstream did not run the request. */
         const val EXTRA_SENDS_IF_NOT_RUN = 2
     }
