Refuse responses whose status is not three digits of a known class

The HTTP library takes any number as a status, so a status of 000 reached callers as status 0, and 099, 600, 999 and numbers of two or four digits did as well. The decoder now refuses such a status line; the call fails as malformed, is counted as such, and the log line attempt_ended names what came in its detail.

--- a/net/src/main/kotlin/samphirechute/net/ClientDecoder.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientDecoder.kt
@@ -18,6 +18,13 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHeadCall || super.isContentAlwaysEmpty(message)
 
+    /** Refuses a status line without a status of three digits. The library takes any number, so `000` would be status 0. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        val status = initialLine.getOrNull(1).orEmpty()
+        require(STATUS.matches(status)) { "no valid status in the status line: '${status.take(MAX_STATUS_CHARS)}'" }
+        return super.createMessage(initialLine)
+    }
+
     /**
      * Refuses a field whose name is followed by anything but spaces and a colon. The library takes the first word of such
      * a line for a name and drops the others, which may be the status line of the next response.
@@ -34,5 +41,9 @@
 
     private companion object {
         const val SPACES = " \t"
+        val STATUS = Regex("[1-5]\\d{2}")
+
+        /** What a malformed response says may be of any length. */
+        const val MAX_STATUS_CHARS = 20
     }
 }
