Do not take a body for complete when its connection was cut off

A body without a length ends with its connection, and the HTTP library takes any end of the connection for it. If a write of the request fails because the upstream has reset the connection, the channel is closed without the reset being read, and the part of the body that had arrived was a complete response. Only a close of the peer is read, as the end of the input; any other end now fails the call.

--- a/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ClientConnection.kt
@@ -73,6 +73,10 @@
             isSkipping = !receiveHead(current, message)
         }
         if (isSkipping) return skipContent(context, current, message)
+        if (message is LastHttpContent && isCutOff(context)) {
+            call = null
+            return current.fail(ClientFailure.Closed("the connection was reset before the end of the body"))
+        }
         if (message is HttpContent && !receiveBody(context, current, message)) return
         // The listener may have cancelled the call while it received the body.
         if (message is LastHttpContent && call === current) completeCall(context, current)
@@ -98,6 +102,19 @@
             }
         }
 
+    /**
+     * Returns whether the connection ended in another way than by a close of the peer. The decoder takes any end of the
+     * connection for the end of a body without a length, also that by a write that failed. A close of the peer is the
+     * only one that is read, as the end of the input.
+     */
+    private fun isCutOff(context: ChannelHandlerContext) =
+        !context.channel().isActive &&
+            context
+                .channel()
+                .unsafe()
+                .recvBufAllocHandle()
+                .lastBytesRead() >= 0
+
     private fun receiveHead(
         current: ActiveCall,
         message: HttpResponse,
