Split Relay into dispatch, retry rules, evidence and the final response

It now decides only what follows from the end of an attempt. RelayedRequest holds what is fixed about a request, Dispatcher gets placements and sends attempts, RetryRules counts sends and runs, SilentReplacement looks for another upstream beside a silent one, RelayedStream writes events to the caller, AttemptEvidence logs ends and reports evidence for quarantines, and FinalResponse sends the one final answer. No change of behaviour is intended.

--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
@@ -89,7 +89,7 @@
         if (!canEndInTime(route, caller)) return refuse(exchange, caller, Refusal.Stopping)
         val whole = wholeRequestTrait(request, caller.host, team?.name, caller.key)
         val accepted = accept(current, route, team, whole, caller.sharedParts)
-        val relay = Relay(context, exchange, caller, accepted, arrivedMs, ::onEnd)
+        val relay = Relay(RelayedRequest(context, exchange, caller, accepted, arrivedMs), ::onEnd)
         relays += relay
         relay.start()
     }
