Place a stream that has begun before requests that have not

The queue now puts requests with hasBegun first, and counts only those as ahead of them, so that they are not refused for a queue that they go before either.

Run: BegunStreamSpec and PlacerSpec of routing, both pass.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
@@ -30,15 +30,18 @@
 
     fun remove(request: RequestId) = waiting.remove(request) != null
 
-    /** Returns the requests by priority, and in order of arrival within a priority. */
+    /**
+     * Returns the requests whose answer has begun, then the others; each by priority, and in order of arrival within a
+     * priority. A caller gives up a stream that pauses much sooner than one that has not begun, and loses what it has.
+     */
     fun inOrder(): List<PlacementRequest> =
-        waiting.values.sortedWith(compareBy({ it.request.priority }, { it.sinceMs })).map { it.request }
+        waiting.values
+            .sortedWith(compareBy({ !it.request.hasBegun }, { it.request.priority }, { it.sinceMs }))
+            .map { it.request }
 
-    /** Returns whether a waiting request goes before [request]: as urgent or more so, and with a prompt no longer. */
+    /** Returns whether a waiting request goes before [request] in the order and has a prompt no longer. */
     fun hasPrecedingRequest(request: PlacementRequest) =
-        waiting.values.any {
-            it.request.priority <= request.priority && it.request.promptTokens <= request.promptTokens
-        }
+        waiting.values.any { precedes(it.request, request) && it.request.promptTokens <= request.promptTokens }
 
     /** Removes and returns the requests that have waited for as long as they may. */
     fun removeExpired(nowMs: Long): List<PlacementRequest> {
@@ -64,8 +67,13 @@
         return (before + 1) * WINDOW_MS / maxOf(1, endsMs.size)
     }
 
-    /** Returns the number of waiting requests that are at least as urgent. */
-    fun countPreceding(request: PlacementRequest) = waiting.values.count { it.request.priority <= request.priority }
+    /** Returns the number of waiting requests that go before [request]. */
+    fun countPreceding(request: PlacementRequest) = waiting.values.count { precedes(it.request, request) }
+
+    private fun precedes(
+        other: PlacementRequest,
+        request: PlacementRequest,
+    ) = if (other.hasBegun == request.hasBegun) other.priority <= request.priority else other.hasBegun
 
     /**
      * Returns the time after which a refused caller may come back: after [waitMs] at the earliest, and [intervalMs]
