--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -21,7 +21,8 @@
     private val context = request.context
     private val stream: RelayedStream =
         RelayedStream(request, { rules.sends }, { isReading -> dispatcher.attempt?.setReading(isReading) })
-    private val rules: RetryRules = RetryRules(request) { stream.canContinue }
+    private val rules: RetryRules =
+        RetryRules(route.maxAttempts, request.isRepeatable, { request.remainingMs }) { stream.canContinue }
     private val evidence = AttemptEvidence(request)
     private val dispatcher: Dispatcher = Dispatcher(request, rules, stream, evidence, this) { final.isDone }
     private val replacement = SilentReplacement(request, rules, stream, dispatcher)
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RetryRules.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RetryRules.kt
@@ -5,12 +5,12 @@
  * its route is repeatable. [Relay] asks it after each attempt.
  */
 internal class RetryRules(
-    private val request: RelayedRequest,
+    private val maxAttempts: Int,
+    private val isRepeatable: Boolean,
+    private val remainingMs: () -> Long,
     /** False if a stream has begun that no upstream can be told to continue. */
     private val canContinue: () -> Boolean,
 ) {
-    private val maxAttempts = request.route.maxAttempts
-
     /** All attempts, with those that never reached an upstream. */
     var sends = 0
         private set
@@ -26,7 +26,7 @@
         private set
 
     /** True if no further attempt is allowed should the next one run. */
-    val isNextLast: Boolean get() = !request.isRepeatable || runs + 1 >= maxAttempts
+    val isNextLast: Boolean get() = !isRepeatable || runs + 1 >= maxAttempts
 
     fun recordSend() {
         sends++
@@ -43,12 +43,12 @@
 
     fun maySendAgain() =
         sends - unsent < maxAttempts + EXTRA_SENDS_IF_NOT_RUN && unsent <= MAX_UNSENT &&
-            request.remainingMs > MIN_REMAINING_MS
+            remainingMs() > MIN_REMAINING_MS
 
     fun mayRunAgain() = runs < maxAttempts && canContinue()
 
     /** Returns whether a request that may have run may run once more. */
-    fun mayRepeat() = request.isRepeatable && mayRunAgain()
+    fun mayRepeat() = isRepeatable && mayRunAgain()
 
     /** Returns whether another upstream may take the request over from one that may be running it. */
     fun mayReplace() = !isNextLast && canContinue() && maySendAgain()
