Bound the requests to a cold upstream over all instances

Cause: each placer limited an upstream to 0.9 of its cold rate in each second by itself. 15 instances without a coordinator together granted 525 requests within a second where 38 are allowed (ColdShareSpec). A successor knew nothing of the last second of the coordinator before it, and two full seconds whose grants arrive together exceed the bound too.

Change: package routing.pace replaces CandidateSelector.isAtColdLimit. A coordinator grants 0.9 of the rate within a second as before and 1.35 times the rate within 1.5 s; in its first second after it has taken over, half of that, evenly spaced. Placers without a coordinator share 0.4 of the rate; each grants at moments that begin at random and that are lost after 500 ms, and nothing for a second after a coordinator has granted it a request there. The list of recent grants in UpstreamLoad goes: for a service without a cold rate nothing ever removed entries from it.

It is not proven for a coordinator that dies after a burst while control instances without a leader and entry instances place at the same time.

--- a/routing/src/main/kotlin/samphirechute/routing/limit/UpstreamLimits.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/limit/UpstreamLimits.kt
@@ -17,6 +17,8 @@
     /** The number of placers that place on the same upstreams without seeing each other's requests, this one included. */
     private val placers: () -> Int = { 1 },
 ) {
+    /** The number of placers that place on the same upstreams without seeing each other's requests. */
+    val placerCount: Int get() = placers()
     private val beliefs = LimitBeliefs()
     private val pacers = HashMap<UpstreamId, RequestPacer>()
 
--- a/routing/src/main/kotlin/samphirechute/routing/placing/CandidateSelector.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/CandidateSelector.kt
@@ -3,12 +3,14 @@
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
 import samphirechute.routing.limit.UpstreamLimits
+import samphirechute.routing.pace.PaceTable
 
 /** Selects the upstreams that may take a request now. Used by [Placer]. */
 internal class CandidateSelector(
     private val accounts: PlacementAccounts,
     private val limits: UpstreamLimits,
     private val turnedAway: TurnedAwayTable,
+    private val pace: PaceTable,
     private val hasPeerPlacers: () -> Boolean,
 ) {
     /** Returns the upstreams of the service that are open, whether or not they may take a request now. */
@@ -39,7 +41,8 @@
     ): List<UpstreamLoad> {
         val open =
             open(request).filter {
-                !isAtColdLimit(it, profile, nowMs) && limits.waitMs(it.upstream.id, nowMs) == 0L &&
+                pace.isUnderColdRate(it.upstream.id, profile.coldRequestsPerS, nowMs) &&
+                    limits.waitMs(it.upstream.id, nowMs) == 0L &&
                     turnedAway.remainingMs(request.instance, it.upstream.id, nowMs) == 0L
             }
         val reachable =
@@ -62,21 +65,8 @@
         nowMs: Long,
     ) = load.upstream.isSilent && nowMs - load.lastAnswerMs > TRUST_AFTER_ANSWER_MS
 
-    /**
-     * An upstream may become cold without announcing it, so none is granted more requests per second than a cold one
-     * can serve.
-     */
-    private fun isAtColdLimit(
-        load: UpstreamLoad,
-        profile: PoolProfile,
-        nowMs: Long,
-    ) = profile.coldRequestsPerS > 0 && load.recentGrants(nowMs) >= profile.coldRequestsPerS * COLD_SHARE
-
     private companion object {
         /** A silent upstream that has answered a request this recently is used like others. */
         const val TRUST_AFTER_ANSWER_MS = 2_000L
-
-        /** Share of a cold upstream's request rate that is granted. */
-        const val COLD_SHARE = 0.9
     }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -5,7 +5,9 @@
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
 import samphirechute.routing.limit.UpstreamLimits
+import samphirechute.routing.pace.PaceTable
 import samphirechute.routing.quarantine.RequestQuarantine
+import kotlin.random.Random
 
 /** The outcome of a request that was waiting: either granted or refused. */
 data class PlacementDecision(
@@ -47,7 +49,8 @@
     private val pools = HashMap<ServiceName, PoolQueue>()
     private val accounts = PlacementAccounts(quarantine)
     private val turnedAway = TurnedAwayTable()
-    private val candidates = CandidateSelector(accounts, limits, turnedAway) { hasPeerPlacers }
+    private val pace = PaceTable(Random(spreadSeed ?: 0)) { limits.placerCount }
+    private val candidates = CandidateSelector(accounts, limits, turnedAway, pace) { hasPeerPlacers }
     private val admission = Admission(candidates, limits, quarantine, turnedAway)
 
     /** Replaces the configured services. Services that remain keep their queues. */
@@ -58,7 +61,10 @@
     }
 
     /** Replaces the known upstreams. Upstreams that remain keep their load. */
-    fun setUpstreams(upstreams: List<PlacementTarget>) = accounts.setUpstreams(upstreams)
+    fun setUpstreams(upstreams: List<PlacementTarget>) {
+        accounts.setUpstreams(upstreams)
+        pace.retain(upstreams.map { it.id }.toSet())
+    }
 
     /**
      * Returns the decision on a request, or null if it was queued; its decision is then returned by a later call.
@@ -100,6 +106,7 @@
         val prefillMs = profile?.prefillMs(request.promptTokens) ?: 0.0
         accounts.commit(request, EngineSplit(listOf(load), prefillMs, 0.0), nowMs)
         if (isJustSent) limits.charge(upstream, nowMs)
+        pace.recordGrant(upstream, coldPerS(request.service), isOwn = false, nowMs)
     }
 
     /** Releases a request that has ended and returns decisions on waiting requests that can use the free capacity. */
@@ -249,9 +256,14 @@
         nowMs: Long,
     ) {
         accounts.commit(request, split, nowMs)
-        split.engines.forEach { limits.charge(it.upstream.id, nowMs) }
+        split.engines.forEach {
+            limits.charge(it.upstream.id, nowMs)
+            pace.recordGrant(it.upstream.id, coldPerS(request.service), isOwn = true, nowMs)
+        }
     }
 
+    private fun coldPerS(service: ServiceName) = pools[service]?.profile?.coldRequestsPerS ?: 0.0
+
     private fun toGranted(split: EngineSplit): Placement.Granted {
         val head = split.engines.first().upstream
         val helpers =
--- a/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
@@ -12,7 +12,6 @@
     var upstream: PlacementTarget,
 ) {
     private val jobs = LinkedHashMap<RequestId, Job>()
-    private val recentGrantsMs = ArrayDeque<Long>()
     private var prefillDoneMs = 0.0
 
     /** The same for prefill that others placed here, as the coordinator reported it. */
@@ -78,12 +77,6 @@
 
     fun isPaused(nowMs: Long) = nowMs < pausedUntilMs
 
-    /** Returns the number of requests granted within the last second. */
-    fun recentGrants(nowMs: Long): Int {
-        while (recentGrantsMs.isNotEmpty() && recentGrantsMs.first() <= nowMs - WINDOW_MS) recentGrantsMs.removeFirst()
-        return recentGrantsMs.size
-    }
-
     fun add(
         request: RequestId,
         job: Job,
@@ -92,7 +85,6 @@
         jobs.put(request, job)?.let { adjustCounts(it, -1) }
         adjustCounts(job, 1)
         prefillDoneMs = max(prefillDoneMs, nowMs.toDouble()) + job.prefillMs
-        if (job.isHead) recentGrantsMs += nowMs
     }
 
     fun remove(
@@ -172,7 +164,6 @@
 
         /** The longest prefill of a short prompt. */
         const val LONG_PREFILL_MS = 110.0
-        const val WINDOW_MS = 1_000L
         const val SMOOTHING = 0.2
         const val FIRST_PAUSE_MS = 400L
         const val STALL_PAUSE_MS = 250L
--- a/routing/src/test/kotlin/samphirechute/routing/placing/ColdShareSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/ColdShareSpec.kt
@@ -11,7 +11,7 @@
         /** Guards a cold upstream against the full rate of each of the instances that have no coordinator. */
         @Test
         fun `together grant no more requests within a second than a cold upstream can serve`() {
-            val fixtures = List(INSTANCES) { PlacingFixture(engines = 1, spreadSeed = it) }
+            val fixtures = List(INSTANCES) { PlacingFixture(engines = 1, spreadSeed = it, instances = INSTANCES) }
             var granted = 0
             repeat(STEPS) {
                 for (fixture in fixtures) {
--- a/routing/src/test/kotlin/samphirechute/routing/placing/PlacingFixture.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/PlacingFixture.kt
@@ -12,7 +12,9 @@
 internal class PlacingFixture(
     engines: Int,
     spreadSeed: Int? = null,
-    limits: UpstreamLimits = UpstreamLimits(),
+    /** The number of instances that place by themselves. */
+    instances: Int = 1,
+    limits: UpstreamLimits = UpstreamLimits { instances },
 ) {
     val placer = Placer(spreadSeed, limits)
     var nowMs = 1_000L
