Give upstreams less load while they respond late or fail

Cause: a plain upstream that fails fast looks free to the choice by fewest requests, and the moving average that predicts plain responses follows a slow upstream within a few of them. A slow upstream so kept its place.

Change: PaceTable keeps for each upstream the part of its usual load that it is given (PaceLevel): halved when at least half of the recent responses are late or failures, doubled when they are in time, at most one change in 500 ms and only from requests granted after the last one. Responses late to one failure domain only lower nothing. It is a preference: while fewer than half of the candidates are within their pace, the placement is as without it. Plain applications are paced by requests, engines by streams and prompt tokens.

Engines are paced too, but no test covers that yet.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/CandidateSelector.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/CandidateSelector.kt
@@ -3,6 +3,7 @@
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
 import samphirechute.routing.limit.UpstreamLimits
+import samphirechute.routing.pace.PaceLoad
 import samphirechute.routing.pace.PaceTable
 
 /** Selects the upstreams that may take a request now. Used by [Placer]. */
@@ -33,6 +34,7 @@
     /**
      * Returns the open upstreams that may take the request. Each preference is dropped if it leaves none: first for
      * failure domains that can be reached, then for the own one, then for upstreams that are neither paused nor silent.
+     * Upstreams beyond their pace are left out while at least half of the others remain.
      */
     fun candidates(
         profile: PoolProfile,
@@ -57,7 +59,23 @@
             }
         val preferred = inDomain.ifEmpty { reachable }
         val trusted = preferred.filter { !it.isPaused(nowMs) && !isDoubtful(it, nowMs) }
-        return trusted.ifEmpty { preferred }
+        return paced(trusted.ifEmpty { preferred }, profile, nowMs)
+    }
+
+    /** With fewer than half, the rest would get more load than it can take instead of those that are disturbed. */
+    private fun paced(
+        loads: List<UpstreamLoad>,
+        profile: PoolProfile,
+        nowMs: Long,
+    ): List<UpstreamLoad> {
+        val engine = profile.engine
+        val tokensPerS = (engine?.readTokensPerMs ?: 0.0) * MS_PER_SECOND
+        val paced =
+            loads.filter {
+                val slots = if (engine == null) null else it.upstream.slots
+                pace.mayGrant(it.upstream.id, PaceLoad(it.running, slots, tokensPerS), nowMs)
+            }
+        return if (paced.size * 2 >= loads.size) paced else loads
     }
 
     private fun isDoubtful(
@@ -68,5 +86,6 @@
     private companion object {
         /** A silent upstream that has answered a request this recently is used like others. */
         const val TRUST_AFTER_ANSWER_MS = 2_000L
+        const val MS_PER_SECOND = 1_000.0
     }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlacementAccounts.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlacementAccounts.kt
@@ -3,6 +3,8 @@
 import samphirechute.core.InstanceId
 import samphirechute.core.RequestId
 import samphirechute.core.UpstreamId
+import samphirechute.routing.pace.PaceTable
+import samphirechute.routing.pace.PacedResponse
 import samphirechute.routing.quarantine.RequestQuarantine
 
 /**
@@ -11,6 +13,7 @@
  */
 internal class PlacementAccounts(
     private val quarantine: RequestQuarantine,
+    private val pace: PaceTable,
 ) {
     private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
     private val placements = HashMap<RequestId, PlacedRequest>()
@@ -70,7 +73,7 @@
                 .first()
                 .upstream.id
         placements[request.request] =
-            PlacedRequest(request, head, split.engines, nowMs, nowMs + request.deadlineMs + END_GRACE_MS)
+            PlacedRequest(request, head, split, nowMs, nowMs + request.deadlineMs + END_GRACE_MS)
     }
 
     /** Releases a request that has ended at [upstream] and returns it, or null if it does not run there. */
@@ -124,6 +127,7 @@
     ) {
         val load = loads[result.upstream] ?: return
         val firstByteMs = result.firstByteMs
+        recordPace(result, nowMs)
         when (result.outcome) {
             PlacementOutcome.FAILED, PlacementOutcome.GONE -> {
                 load.recordFailure(nowMs)
@@ -152,19 +156,50 @@
         }
     }
 
+    /** The end of a request that is not known here any more tells nothing about when it was granted. */
+    private fun recordPace(
+        result: PlacementResult,
+        nowMs: Long,
+    ) {
+        val placed = placements[result.request]?.takeIf { it.head == result.upstream } ?: return
+        when (result.outcome) {
+            PlacementOutcome.FAILED,
+            PlacementOutcome.UNREACHABLE,
+            PlacementOutcome.STALLED,
+            PlacementOutcome.REFUSED,
+            -> {
+                pace.recordFailure(result.upstream, result.from, placed.placedMs, nowMs)
+            }
+
+            PlacementOutcome.DONE, PlacementOutcome.CANCELLED -> {
+                val firstByteMs = result.firstByteMs ?: return
+                val targetMs = placed.request.targetMs
+                // The average that predicts plain responses follows a slow upstream, so that none would be late.
+                val predictedMs = if (placed.split.partMs > 0) placed.split.firstEventMs else 0.0
+                val response = PacedResponse(firstByteMs, predictedMs, targetMs, result.from, placed.placedMs)
+                pace.recordAnswer(result.upstream, response, nowMs)
+            }
+
+            // Another upstream has the address, which says nothing about this one.
+            PlacementOutcome.GONE -> {
+                return
+            }
+        }
+    }
+
     private fun release(
         record: PlacedRequest,
         nowMs: Long,
     ) {
         placements.remove(record.request.request)
-        record.engines.forEach { it.remove(record.request.request, nowMs) }
+        record.split.engines.forEach { it.remove(record.request.request, nowMs) }
     }
 
     /** A granted request that has not ended. [untilMs] is the time at which it is released without a report. */
     private class PlacedRequest(
         val request: PlacementRequest,
         val head: UpstreamId,
-        val engines: List<UpstreamLoad>,
+        val split: EngineSplit,
         val placedMs: Long,
         val untilMs: Long,
     )
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -30,6 +30,8 @@
     private val spreadSeed: Int? = null,
     private val limits: UpstreamLimits = UpstreamLimits(),
     private val quarantine: RequestQuarantine = RequestQuarantine(InstanceId("placer")),
+    /** How much load each upstream is given. */
+    val pace: PaceTable = PaceTable(Random(spreadSeed ?: 0)) { limits.placerCount },
 ) {
     /**
      * True while other placers grant the same upstreams, as happens without a leader. Requests then stay in their own
@@ -47,9 +49,8 @@
     /** True if this placer alone decides when a request in quarantine is sent to see whether it still crashes upstreams. */
     var mayProbe = false
     private val pools = HashMap<ServiceName, PoolQueue>()
-    private val accounts = PlacementAccounts(quarantine)
+    private val accounts = PlacementAccounts(quarantine, pace)
     private val turnedAway = TurnedAwayTable()
-    private val pace = PaceTable(Random(spreadSeed ?: 0)) { limits.placerCount }
     private val candidates = CandidateSelector(accounts, limits, turnedAway, pace) { hasPeerPlacers }
     private val admission = Admission(candidates, limits, quarantine, turnedAway)
 
@@ -106,7 +107,7 @@
         val prefillMs = profile?.prefillMs(request.promptTokens) ?: 0.0
         accounts.commit(request, EngineSplit(listOf(load), prefillMs, 0.0), nowMs)
         if (isJustSent) limits.charge(upstream, nowMs)
-        pace.recordGrant(upstream, coldPerS(request.service), isOwn = false, nowMs)
+        pace.recordGrant(upstream, coldPerS(request.service), request.promptTokens, isOwn = false, nowMs)
     }
 
     /** Releases a request that has ended and returns decisions on waiting requests that can use the free capacity. */
@@ -258,7 +259,8 @@
         accounts.commit(request, split, nowMs)
         split.engines.forEach {
             limits.charge(it.upstream.id, nowMs)
-            pace.recordGrant(it.upstream.id, coldPerS(request.service), isOwn = true, nowMs)
+            val partTokens = request.promptTokens / split.engines.size
+            pace.recordGrant(it.upstream.id, coldPerS(request.service), partTokens, isOwn = true, nowMs)
         }
     }
 
--- a/routing/src/test/kotlin/samphirechute/routing/pace/ColdBoundSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/pace/ColdBoundSpec.kt
@@ -17,7 +17,7 @@
     private fun placer(
         seed: Int,
         placers: () -> Int,
-    ) = PaceTable(Random(seed), placers).also { it.retain(setOf(UPSTREAM)) }
+    ) = PaceTable(Random(seed), placers = placers).also { it.retain(setOf(UPSTREAM)) }
 
     /** Lets the placers grant at each of [timesMs]; the grants arrive after [delayMs]. */
     private fun grant(
@@ -29,7 +29,7 @@
         for (nowMs in timesMs.map { it.toLong() }) {
             for (table in tables) {
                 while (table.isUnderColdRate(UPSTREAM, RATE_PER_S, nowMs)) {
-                    table.recordGrant(UPSTREAM, RATE_PER_S, isOwn = true, nowMs)
+                    table.recordGrant(UPSTREAM, RATE_PER_S, 0, isOwn = true, nowMs)
                     arrivalsMs += nowMs + delayMs(nowMs)
                     granted++
                 }
@@ -110,7 +110,7 @@
         @Test
         fun `do not grant beside what a coordinator has granted them within the last second`() {
             val table = placer(1) { INSTANCES }
-            table.recordGrant(UPSTREAM, RATE_PER_S, isOwn = false, 10_000)
+            table.recordGrant(UPSTREAM, RATE_PER_S, 0, isOwn = false, 10_000)
             assertEquals(0, grant(listOf(table), 10_000..10_999 step 10))
         }
     }
