--- a/routing/src/main/kotlin/samphirechute/routing/placing/CandidateSelector.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/CandidateSelector.kt
@@ -3,12 +3,15 @@
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
 import samphirechute.routing.limit.UpstreamLimits
+import samphirechute.routing.pace.PaceLoad
+import samphirechute.routing.pace.PaceTable
 
 /** Selects the upstreams that may take a request now. Used by [Placer]. */
 internal class CandidateSelector(
     private val accounts: PlacementAccounts,
     private val limits: UpstreamLimits,
     private val turnedAway: TurnedAwayTable,
+    private val pace: PaceTable,
     private val hasPeerPlacers: () -> Boolean,
 ) {
     /** Returns the upstreams of the service that are open, whether or not they may take a request now. */
@@ -31,6 +34,7 @@
     /**
      * Returns the open upstreams that may take the request. Each preference is dropped if it leaves none: first for
      * failure domains that can be reached, then for the own one, then for upstreams that are neither paused nor silent.
+     * Upstreams beyond their pace are left out while at least half of the others remain.
      */
     fun candidates(
         profile: PoolProfile,
@@ -39,7 +43,8 @@
     ): List<UpstreamLoad> {
         val open =
             open(request).filter {
-                !isAtColdLimit(it, profile, nowMs) && limits.waitMs(it.upstream.id, nowMs) == 0L &&
+                pace.isUnderColdRate(it.upstream.id, profile.coldRequestsPerS, nowMs) &&
+                    limits.waitMs(it.upstream.id, nowMs) == 0L &&
                     turnedAway.remainingMs(request.instance, it.upstream.id, nowMs) == 0L
             }
         val reachable =
@@ -54,29 +59,33 @@
             }
         val preferred = inDomain.ifEmpty { reachable }
         val trusted = preferred.filter { !it.isPaused(nowMs) && !isDoubtful(it, nowMs) }
-        return trusted.ifEmpty { preferred }
+        return paced(trusted.ifEmpty { preferred }, profile, nowMs)
     }
 
-    private fun isDoubtful(
-        load: UpstreamLoad,
+    /** With fewer than half, the rest would get more load than it can take instead of those that are disturbed. */
+    private fun paced(
+        loads: List<UpstreamLoad>,
+        profile: PoolProfile,
         nowMs: Long,
-    ) = load.upstream.isSilent && nowMs - load.lastAnswerMs > TRUST_AFTER_ANSWER_MS
+    ): List<UpstreamLoad> {
+        val engine = profile.engine
+        val tokensPerS = (engine?.readTokensPerMs ?: 0.0) * MS_PER_SECOND
+        val paced =
+            loads.filter {
+                val slots = if (engine == null) null else it.upstream.slots
+                pace.mayGrant(it.upstream.id, PaceLoad(it.running, slots, tokensPerS), nowMs)
+            }
+        return if (paced.size * 2 >= loads.size) paced else loads
+    }
 
-    /**
-     * An upstream may become cold without announcing it, so none is granted more requests per second than a cold one
-     * can serve.
-     */
-    private fun isAtColdLimit(
+    private fun isDoubtful(
         load: UpstreamLoad,
-        profile: PoolProfile,
         nowMs: Long,
-    ) = profile.coldRequestsPerS > 0 && load.recentGrants(nowMs) >= profile.coldRequestsPerS * COLD_SHARE
+    ) = load.upstream.isSilent && nowMs - load.lastAnswerMs > TRUST_AFTER_ANSWER_MS
 
     private companion object {
         /** A silent upstream that has answered a request this recently is used like others. */
         const val TRUST_AFTER_ANSWER_MS = 2_000L
-
-        /** Share of a cold upstream's request rate that is granted. */
-        const val COLD_SHARE = 0.9
+        const val MS_PER_SECOND = 1_000.0
     }
 }
