--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -19,6 +19,7 @@
 import samphirechute.serving.cluster.LeavingNotice
 import samphirechute.serving.cluster.LimitNotice
 import samphirechute.serving.cluster.LimitRegistry
+import samphirechute.serving.cluster.PaceMonitor
 import samphirechute.serving.cluster.QuarantineNotice
 import samphirechute.serving.cluster.QuarantineRegistry
 import samphirechute.serving.cluster.ServingSettings
@@ -50,6 +51,7 @@
     private val quarantineStore = QuarantineStore(timer, quarantine, store::recordQuarantine)
     private var isSynchronizing = false
     private val placer = Placer(limits = upstreamLimits, quarantine = requestQuarantine)
+    private val pace = PaceMonitor(placer.pace, metrics)
     private val view = ClusterView(reader, timer, placer)
     val registry: UpstreamRegistry =
         UpstreamRegistry(timer, settings.announceEveryMs, view::isConfigured, ::upstreamsChanged)
@@ -81,6 +83,7 @@
         }
 
     fun start() {
+        pace.start()
         store.onChanged = ::stateChanged
         store.afterDelivery = watchServer::afterDelivery
         store.start()
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -16,6 +16,7 @@
 import samphirechute.serving.cluster.DrainedDomains
 import samphirechute.serving.cluster.LimitNotice
 import samphirechute.serving.cluster.LimitRegistry
+import samphirechute.serving.cluster.PaceMonitor
 import samphirechute.serving.cluster.QuarantineNotice
 import samphirechute.serving.cluster.QuarantineRegistry
 import samphirechute.serving.cluster.ServingSettings
@@ -52,6 +53,7 @@
     private val requestQuarantine = RequestQuarantine(settings.instance)
     private val quarantine = QuarantineRegistry(settings.instance, timer, requestQuarantine, registry)
     private val placer = Placer(spreadSeed = settings.instance.hashCode(), upstreamLimits, requestQuarantine)
+    private val pace = PaceMonitor(placer.pace, registry)
     private val view = ClusterView(reader, timer, placer)
     private val placements = PlacementClient(settings.instance, timer, peerClient, watcher, placer, limits, quarantine)
     private val budget = RetryBudget { settings.retryFloor / watcher.entries }
@@ -86,6 +88,7 @@
     val knownUpstreams: Int get() = table.all().count { it.state != UpstreamState.GONE }
 
     fun start() {
+        pace.start()
         watcher.onConfirmed = ::applyConfig
         watcher.start()
         placements.start()
