Let engine selection follow speed, mix and failures of engines

Change: EngineSpeed keeps the bounded ratio of observed to predicted time to the first event, from results that already exist; predictions, harm and the order of engines use it. PrefillMix derives the engines kept free from the prefill requested in the last seconds. SplitRisk prefers engines without a recent failure and fewer parts while engines fail.

Measured: mvn -pl routing -am test -Dtest='samphirechute/routing/placing/**', 76 tests.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlacementAccounts.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlacementAccounts.kt
@@ -2,15 +2,17 @@
 
 import samphirechute.core.InstanceId
 import samphirechute.core.RequestId
+import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
 import samphirechute.routing.quarantine.RequestQuarantine
 
 /**
- * The granted requests of a [Placer] that have not ended, the load that they put on each upstream, and what is known about
- * unreachable failure domains.
+ * The granted requests of a [Placer] that have not ended, the load that they put on each upstream, and what is known
+ * about unreachable failure domains.
  */
 internal class PlacementAccounts(
     private val quarantine: RequestQuarantine,
+    private val rules: EngineRules,
 ) {
     private val loads = LinkedHashMap<UpstreamId, UpstreamLoad>()
     private val placements = HashMap<RequestId, PlacedRequest>()
@@ -18,6 +20,13 @@
 
     val upstreams: Collection<UpstreamLoad> get() = loads.values
 
+    /** The upstreams of a service, also those that may take no request now; evaluated when they are iterated over. */
+    fun ofService(service: ServiceName): Iterable<UpstreamLoad> =
+        loads.values
+            .asSequence()
+            .filter { it.upstream.service == service }
+            .asIterable()
+
     operator fun get(upstream: UpstreamId): UpstreamLoad? = loads[upstream]
 
     operator fun contains(request: RequestId) = request in placements
@@ -28,7 +37,13 @@
         loads.keys.retainAll(ids)
         upstreams.forEach { upstream ->
             val known = loads[upstream.id]
-            if (known == null) loads[upstream.id] = UpstreamLoad(upstream) else known.upstream = upstream
+            if (known ==
+                null
+            ) {
+                loads[upstream.id] = UpstreamLoad(upstream, rules.newSpeed())
+            } else {
+                known.upstream = upstream
+            }
         }
     }
 
@@ -61,7 +76,19 @@
         split.engines.forEachIndexed { index, load ->
             val isHead = index == 0
             val memory = if (isHead) headTokens else split.reservedTokens[load] ?: 0L
-            val job = UpstreamLoad.Job(isHead, split.partMs, memory, gapMs, nowMs, split.firstEventMs, request.weight)
+            val ratio = load.speedRatio(nowMs)
+            val predictedMs = split.predictedMs.getOrElse(index) { 0.0 }
+            val job =
+                UpstreamLoad.Job(
+                    isHead,
+                    split.partMs * ratio,
+                    memory,
+                    gapMs,
+                    nowMs,
+                    predictedMs,
+                    request.weight,
+                    ratio,
+                )
             load.add(request.request, job, nowMs)
         }
         split.engines.forEach { linkHealth.recordAttempt(request.failureDomain, it.upstream.failureDomain, nowMs) }
@@ -70,7 +97,14 @@
                 .first()
                 .upstream.id
         placements[request.request] =
-            PlacedRequest(request, head, split.engines, nowMs, nowMs + request.deadlineMs + END_GRACE_MS)
+            PlacedRequest(
+                request,
+                head,
+                split.engines,
+                nowMs,
+                nowMs + request.deadlineMs + END_GRACE_MS,
+                split.firstEventMs,
+            )
     }
 
     /** Releases a request that has ended at [upstream] and returns it, or null if it does not run there. */
@@ -124,6 +158,7 @@
     ) {
         val load = loads[result.upstream] ?: return
         val firstByteMs = result.firstByteMs
+        recordSpeed(result, nowMs)
         when (result.outcome) {
             PlacementOutcome.FAILED, PlacementOutcome.GONE -> {
                 load.recordFailure(nowMs)
@@ -152,6 +187,23 @@
         }
     }
 
+    /**
+     * Takes in how long the first event took. A late one of a split prompt shows that one of the engines is slow but
+     * not which, so each is charged its share; an early one shows that all of them were in time. A request whose caller
+     * left before the first event says nothing, while a silent upstream took at least the time since the grant.
+     */
+    private fun recordSpeed(
+        result: PlacementResult,
+        nowMs: Long,
+    ) {
+        val record = placements[result.request]?.takeIf { it.head == result.upstream } ?: return
+        val isSilent = result.outcome == PlacementOutcome.STALLED
+        val observedMs = result.firstByteMs ?: if (isSilent) nowMs - record.placedMs else return
+        val isLate = observedMs > record.firstEventMs
+        val share = if (isLate) 1.0 / record.engines.size else 1.0
+        record.engines.forEach { it.recordFirstEvent(result.request, observedMs, share, nowMs) }
+    }
+
     private fun release(
         record: PlacedRequest,
         nowMs: Long,
@@ -167,6 +219,7 @@
         val engines: List<UpstreamLoad>,
         val placedMs: Long,
         val untilMs: Long,
+        val firstEventMs: Double,
     )
 
     private companion object {
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -20,15 +20,22 @@
  * known about unreachable failure domains. It has no clock: callers pass the current time. The coordinator uses one for
  * the requests of all instances. Each entry instance has its own and uses it while no coordinator answers.
  */
-class Placer(
+class Placer internal constructor(
     /**
      * When set, short prompts are spread over engines in an order derived from this seed instead of being packed.
      * Placers that don't share their state would otherwise all pack the same engine.
      */
-    private val spreadSeed: Int? = null,
-    private val limits: UpstreamLimits = UpstreamLimits(),
-    private val quarantine: RequestQuarantine = RequestQuarantine(InstanceId("placer")),
+    private val spreadSeed: Int?,
+    private val limits: UpstreamLimits,
+    private val quarantine: RequestQuarantine,
+    private val rules: EngineRules,
 ) {
+    constructor(
+        spreadSeed: Int? = null,
+        limits: UpstreamLimits = UpstreamLimits(),
+        quarantine: RequestQuarantine = RequestQuarantine(InstanceId("placer")),
+    ) : this(spreadSeed, limits, quarantine, EngineRules.ADAPTIVE)
+
     /**
      * True while other placers grant the same upstreams, as happens without a leader. Requests then stay in their own
      * failure domain if it has upstreams: each upstream is shared by fewer placers, and none is behind a network
@@ -45,7 +52,8 @@
     /** True if this placer alone decides when a request in quarantine is sent to see whether it still crashes upstreams. */
     var mayProbe = false
     private val pools = HashMap<ServiceName, PoolQueue>()
-    private val accounts = PlacementAccounts(quarantine)
+    private val mixes = HashMap<ServiceName, PrefillMix>()
+    private val accounts = PlacementAccounts(quarantine, rules)
     private val turnedAway = TurnedAwayTable()
     private val candidates = CandidateSelector(accounts, limits, turnedAway) { hasPeerPlacers }
     private val admission = Admission(candidates, limits, quarantine, turnedAway)
@@ -54,6 +62,7 @@
     fun setPools(profiles: List<PoolProfile>) {
         val services = profiles.map { it.service }.toSet()
         pools.keys.retainAll(services)
+        mixes.keys.retainAll(services)
         profiles.forEach { profile -> pools.getOrPut(profile.service) { PoolQueue(profile) }.profile = profile }
     }
 
@@ -75,6 +84,7 @@
     ): Placement? {
         val pool = pools[request.service] ?: return RefusalPolicy.noUpstream()
         admission.refuse(pool, request, isLearning, mayProbe, nowMs)?.let { return it }
+        recordDemand(pool.profile, request, nowMs)
         if (!pool.hasPrecedingRequest(request)) tryPlace(pool, request, nowMs)?.let { return it }
         val waitMs = pool.expectedWaitMs(request, nowMs)
         val maxWaitMs = RefusalPolicy.maxWaitMs(request)
@@ -198,13 +208,35 @@
         val engine = pool.profile.engine
         if (engine == null) return placePlain(upstreams, request, nowMs)?.let { questioned(it, request, nowMs) }
         val waitedMs = request.elapsedMs + pool.waitedMs(request.request, nowMs)
+        val maxPrefillEngines = mixOf(request.service).maxPrefillEngines(upstreams.size)
         val split =
-            EngineSelector(engine, upstreams, request, nowMs, spreadSeed, waitedMs, ::isLimited).select()
-                ?: return null
+            EngineSelector(
+                engine,
+                upstreams,
+                request,
+                nowMs,
+                spreadSeed,
+                waitedMs,
+                ::isLimited,
+                maxPrefillEngines,
+                rules.splitRisk,
+                accounts.ofService(request.service),
+            ).select() ?: return null
         grant(request, split, nowMs)
         return questioned(toGranted(split), request, nowMs)
     }
 
+    private fun mixOf(service: ServiceName) = mixes.getOrPut(service) { rules.newMix() }
+
+    private fun recordDemand(
+        profile: PoolProfile,
+        request: PlacementRequest,
+        nowMs: Long,
+    ) {
+        val prefillMs = profile.engine?.prefillMs(request.promptTokens) ?: return
+        mixOf(request.service).recordDemand(prefillMs, EngineSelector.isShort(prefillMs), nowMs)
+    }
+
     /** Marks a grant whose answer is evidence for or against a quarantine. */
     private fun questioned(
         granted: Placement.Granted,
--- a/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/UpstreamLoad.kt
@@ -10,8 +10,10 @@
  */
 internal class UpstreamLoad(
     var upstream: PlacementTarget,
+    private val speed: EngineSpeed = EngineSpeed.Nominal,
 ) {
     private val jobs = LinkedHashMap<RequestId, Job>()
+    private val recentPrefill = ArrayDeque<Job>()
     private val recentGrantsMs = ArrayDeque<Long>()
     private var prefillDoneMs = 0.0
 
@@ -26,6 +28,10 @@
     var lastAnswerMs = Long.MIN_VALUE / 2
         private set
 
+    /** When a request last failed, stalled or could not be sent here. */
+    var lastFailureMs = Long.MIN_VALUE / 2
+        private set
+
     /** Moving average of the time to the first byte; used for plain applications. */
     var averageMs = 0.0
         private set
@@ -47,8 +53,12 @@
     fun shortestGapMs(): Long? = jobs.values.filter { it.isHead }.minOfOrNull { it.gapMs }
 
     /** Returns the weight of the requests that decode here and whose target gap is shorter than [pauseMs]. */
-    fun weightWithGapBelow(pauseMs: Double): Double =
-        jobs.values.filter { it.isHead && it.gapMs < pauseMs }.sumOf { it.weight }
+    fun weightWithGapBelow(pauseMs: Double): Double {
+        if (running == 0) return 0.0
+        var weight = 0.0
+        for (job in jobs.values) if (job.isHead && job.gapMs < pauseMs) weight += job.weight
+        return weight
+    }
 
     /** Returns whether more prefill remains than short prompts bring. */
     fun hasLongPrefill(nowMs: Long) = prefillWaitMs(nowMs) > LONG_PREFILL_MS
@@ -72,9 +82,19 @@
     fun isPrefillDone(
         profile: EngineProfile,
         nowMs: Long,
-    ) = nowMs >= reportedPrefillDoneMs && (jobs.isEmpty() || nowMs >= prefillDoneMs + passMs(profile) + SETTLE_MS)
+    ): Boolean {
+        if (nowMs < reportedPrefillDoneMs) return false
+        return jobs.isEmpty() || nowMs >= prefillDoneMs + passMs(profile, nowMs) + SETTLE_MS
+    }
+
+    /** Returns the time of a pass at the speed of this engine. */
+    fun passMs(
+        profile: EngineProfile,
+        nowMs: Long,
+    ) = profile.passMs(running, memoryTokens) * speed.ratio(nowMs)
 
-    fun passMs(profile: EngineProfile) = profile.passMs(running, memoryTokens)
+    /** Returns how much longer this engine takes than its profile predicts; 1 if no difference is known. */
+    fun speedRatio(nowMs: Long) = speed.ratio(nowMs)
 
     fun isPaused(nowMs: Long) = nowMs < pausedUntilMs
 
@@ -93,6 +113,27 @@
         adjustCounts(job, 1)
         prefillDoneMs = max(prefillDoneMs, nowMs.toDouble()) + job.prefillMs
         if (job.isHead) recentGrantsMs += nowMs
+        if (job.prefillMs <= 0) return
+        if (recentPrefill.size == MAX_RECENT_PREFILL) recentPrefill.removeFirst()
+        recentPrefill += job
+    }
+
+    /**
+     * Compares the time to the first event of a request with its prediction. Prefill that was placed here between the
+     * two counts as predicted, since an engine prefills what comes later first.
+     */
+    fun recordFirstEvent(
+        request: RequestId,
+        observedMs: Long,
+        share: Double,
+        nowMs: Long,
+    ) {
+        val job = jobs[request] ?: return
+        if (job.predictedMs <= 0) return
+        val untilMs = job.placedMs + observedMs
+        val later = recentPrefill.asReversed().takeWhile { it !== job && it.placedMs >= job.placedMs }
+        val laterMs = later.sumOf { if (it.placedMs < untilMs) it.prefillMs else 0.0 }
+        speed.recordFirstEvent(observedMs, (job.predictedMs + laterMs) / job.speedRatio, share, nowMs)
     }
 
     fun remove(
@@ -130,6 +171,7 @@
     /** Pauses the upstream. Each further failure doubles the pause, so that a dead upstream costs few attempts. */
     fun recordFailure(nowMs: Long) {
         failures++
+        lastFailureMs = nowMs
         val pauseMs = minOf(FIRST_PAUSE_MS shl minOf(failures - 1, MAX_DOUBLINGS), LONGEST_PAUSE_MS)
         pausedUntilMs = max(pausedUntilMs, nowMs + pauseMs)
     }
@@ -138,6 +180,7 @@
      * Pauses the upstream, but only once for requests that stall together: a busy upstream must not be out for long.
      */
     fun recordStall(nowMs: Long) {
+        lastFailureMs = nowMs
         if (isPaused(nowMs)) return
         stalls++
         val pauseMs = minOf(STALL_PAUSE_MS shl minOf(stalls - 1, MAX_DOUBLINGS), LONGEST_STALL_PAUSE_MS)
@@ -156,9 +199,12 @@
         val memoryTokens: Long,
         val gapMs: Long,
         val placedMs: Long,
+        /** Predicted time until this engine has done its part and sends events, at [speedRatio]; 0 if unknown. */
         val predictedMs: Double,
         /** See [PlacementRequest.weight]. */
         val weight: Double,
+        /** The ratio that was assumed for the prediction, see [EngineSpeed]. */
+        val speedRatio: Double = 1.0,
     )
 
     private companion object {
@@ -173,6 +219,9 @@
         /** The longest prefill of a short prompt. */
         const val LONG_PREFILL_MS = 110.0
         const val WINDOW_MS = 1_000L
+
+        /** More than an engine with 11 slots gets within the time to a first event. */
+        const val MAX_RECENT_PREFILL = 64
         const val SMOOTHING = 0.2
         const val FIRST_PAUSE_MS = 400L
         const val STALL_PAUSE_MS = 250L
