Share the retry budget between instances by need

Half of the floor is now divided between the instances and needs no coordinator. The other half is held at the leader, which grants it with the placement of a retry (needsRetryGrant, hasRetryGrant) or refuses it (RETRY_BUDGET). A new leader grants nothing for one window (11 s, as a retry counts) unless no configuration was ever committed. The last quarter of each part is kept for prompts of 90,000 tokens or more and streams that have begun.

Run: RetryGrantsSpec, RetryBudgetSpec, RequestFlowSpec and RequestFaultMatrixSpec (routing), RetryDeskSpec and PlacementClientSpec (serving), RelaySpec, SilentStreamSpec, ContinuedStreamSpec, MemoryRefusalSpec and SharedRetryBudgetSpec (platform), all pass.

--- a/routing/src/main/kotlin/samphirechute/routing/flow/RetryBudget.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/flow/RetryBudget.kt
@@ -6,10 +6,11 @@
  *
  * Successes and retries are counted in a sliding window of one-second slots. Retries are counted for a slot longer, so
  * that any ten seconds stay within the budget wherever in a slot they begin. All requests of an instance share one
- * budget.
+ * budget. The last part of it, [keptShare], is left to requests whose loss costs callers the most.
  */
 class RetryBudget(
     private val share: Double = DEFAULT_SHARE,
+    private val keptShare: Double = 0.0,
     private val floor: () -> Int = { DEFAULT_FLOOR },
 ) {
     private val slots = Array(RETRY_SLOTS) { Slot() }
@@ -19,17 +20,35 @@
     }
 
     /** Uses up one retry. Returns false when the budget is exhausted. */
-    fun tryAcquire(nowMs: Long): Boolean {
-        if (!hasRemaining(nowMs)) return false
+    fun tryAcquire(
+        nowMs: Long,
+        isCostly: Boolean = true,
+    ): Boolean {
+        if (!hasRemaining(nowMs, isCostly)) return false
         slotAt(nowMs).retries++
         return true
     }
 
-    fun hasRemaining(nowMs: Long): Boolean {
-        val current = nowMs / SLOT_MS
-        val retries = slots.filter { it.index > current - RETRY_SLOTS }.sumOf { it.retries }
-        val successes = slots.filter { it.index > current - SUCCESS_SLOTS }.sumOf { it.successes }
-        return retries < floor() + share * successes
+    /** Returns whether a retry is left, for a request that [isCostly] to lose or for another, besides [promised] ones. */
+    fun hasRemaining(
+        nowMs: Long,
+        isCostly: Boolean = true,
+        promised: Int = 0,
+    ): Boolean {
+        val allowed = allowed(nowMs)
+        val kept = if (isCostly) 0 else (keptShare * allowed).toLong()
+        return retries(nowMs) + promised < allowed - kept
+    }
+
+    /** Returns the retries that are left, for log lines and metrics. */
+    fun left(nowMs: Long): Long = allowed(nowMs) - retries(nowMs)
+
+    private fun retries(nowMs: Long) = slots.filter { it.index > nowMs / SLOT_MS - RETRY_SLOTS }.sumOf { it.retries }
+
+    /** Rounded down, so that the sum over many instances stays within the share of all successes. */
+    private fun allowed(nowMs: Long): Long {
+        val successes = slots.filter { it.index > nowMs / SLOT_MS - SUCCESS_SLOTS }.sumOf { it.successes }
+        return floor() + (share * successes).toLong()
     }
 
     private fun slotAt(nowMs: Long): Slot {
@@ -57,5 +76,8 @@
         private const val SLOT_MS = 1_000L
         private const val SUCCESS_SLOTS = 10
         private const val RETRY_SLOTS = SUCCESS_SLOTS + 1
+
+        /** For how long a retry counts. */
+        const val WINDOW_MS = RETRY_SLOTS * SLOT_MS
     }
 }
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlacementRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlacementRequest.kt
@@ -38,9 +38,14 @@
     /** What this request has in common with others, by which those that crash upstreams are recognized. */
     @SerialName("sharedParts")
     val traits: Set<RequestTrait> = emptySet(),
+    /** True for a retry for which the instance has no part of the retry budget left. */
+    val needsRetryGrant: Boolean = false,
 ) {
     /** Cost of a late answer to this request. It grows with the prompt, since longer prompts take more work. */
-    val weight: Double get() = 1 + promptTokens / TOKENS_PER_WEIGHT
+    val weight: Double get() = weightOf(promptTokens)
+
+    /** True if the loss of this request costs callers as much as that of many others. */
+    val isCostlyToLose: Boolean get() = isCostlyToLose(promptTokens, hasBegun)
 
     /** The wait after which the caller is expected to give up. */
     val abandonAfterMs: Long
@@ -59,6 +64,17 @@
         private const val ABANDON_TARGETS = 4L
         private const val ABANDON_GAPS = 8L
         private const val TOKENS_PER_WEIGHT = 10_000.0
+
+        /** A prompt of 90,000 tokens: longer than medium prompts, and shorter than long ones. */
+        private const val LARGE_WEIGHT = 10.0
+
+        private fun weightOf(promptTokens: Long) = 1 + promptTokens / TOKENS_PER_WEIGHT
+
+        /** Returns whether a request with a long prompt, or with an answer that has begun, would be lost. */
+        fun isCostlyToLose(
+            promptTokens: Long,
+            hasBegun: Boolean,
+        ): Boolean = hasBegun || weightOf(promptTokens) >= LARGE_WEIGHT
     }
 }
 
@@ -81,6 +97,8 @@
         val isWatched: Boolean = false,
         /** True if the prompt is in quarantine and is sent to see whether it still crashes an upstream. */
         val isProbe: Boolean = false,
+        /** True if this counts as a retry in the coordinator's part of the budget, see [PlacementRequest.needsRetryGrant]. */
+        val hasRetryGrant: Boolean = false,
     ) : Placement()
 
     /** The request cannot be served in time; the caller may retry after [retryAfterMs]. */
@@ -127,6 +145,10 @@
     @SerialName("quarantined")
     QUARANTINED,
 
+    /** The request is a retry, and no retry is left for it in the budget of all instances. */
+    @SerialName("retry_budget")
+    RETRY_BUDGET,
+
     /** The request waited for as long as it could, or had no time left to wait. */
     @SerialName("expired")
     EXPIRED,
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -57,6 +57,14 @@
         WatchServer(timer, store, registry, limits, quarantine, incarnation) {
             if (store.isLeader) placer.busyUpstreams(timer.nowMs()) else null
         }
+    private val retries =
+        RetryDesk(
+            settings.retryFloor,
+            timer,
+            { store.term.takeIf { store.isLeader && store.isCurrent } },
+            { store.config == null },
+            metrics,
+        )
     private val placements =
         PlacementCoordinator(
             timer,
@@ -67,6 +75,7 @@
             registry::markDraining,
             ::mergeLimits,
             quarantine,
+            retries,
         )
     private val watcher = Watcher(settings, timer, client, isEntry = false, Listener())
     private val departures = DepartureReplicator(timer, registry, Peers())
@@ -138,6 +147,7 @@
     override fun close() = store.close()
 
     private fun stateChanged() {
+        retries.observeLeadership()
         store.config?.takeIf { it.revision > view.revision }?.let { config ->
             val adopted = config.unpack()
             if (adopted == null) log.warn("configuration_damaged", mapOf("revision" to config.revision))
--- a/serving/src/main/kotlin/samphirechute/serving/control/PlacementCoordinator.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/PlacementCoordinator.kt
@@ -30,6 +30,7 @@
     private val onUpstreamLeaving: (UpstreamId, bornMs: Long) -> Unit,
     private val onLimits: (List<LimitNotice>) -> Unit,
     private val quarantine: QuarantineRegistry,
+    private val retries: RetryDesk,
 ) {
     private val startedMs = timer.nowMs()
 
@@ -44,6 +45,7 @@
 
     fun start() {
         timer.every(CLEANUP_INTERVAL_MS) {
+            retries.observeLeadership()
             placer.forget(isLost, timer.nowMs())
             deliver(placer.tick(timer.nowMs()))
         }
@@ -70,8 +72,9 @@
         placer.hasPeerPlacers = !store.isLeader
         placer.mayProbe = store.isLeader
         placer.isLearning = timer.nowMs() - startedMs < announceEveryMs + ANNOUNCE_MARGIN_MS
+        retries.refuse(request)?.let { return PlacementReply(it) }
         val placement = placer.place(request, timer.nowMs())
-        if (placement != null) return PlacementReply(placement)
+        if (placement != null) return PlacementReply(retries.settle(request, placement))
         placerTicks.arm()
         return PlacementReply(isWaiting = true)
     }
@@ -93,13 +96,15 @@
     private fun discard(request: RequestId) {
         awaiting -= request
         undelivered -= request
+        retries.withdraw(request)
     }
 
     private fun deliver(decisions: List<PlacementDecision>) {
         for (decision in decisions) {
             val id = decision.request.request
+            val placement = retries.settle(decision.request, decision.placement)
             val exchange = awaiting.remove(id)
-            if (exchange != null) exchange.answer(PlacementReply(decision.placement)) else keep(id, decision.placement)
+            if (exchange != null) exchange.answer(PlacementReply(placement)) else keep(id, placement)
         }
     }
 
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -7,6 +7,7 @@
 import samphirechute.net.HttpClient
 import samphirechute.net.peer.PeerClient
 import samphirechute.routing.flow.RetryBudget
+import samphirechute.routing.flow.RetryParts
 import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.placing.BusyUpstream
 import samphirechute.routing.placing.Placer
@@ -54,7 +55,8 @@
     private val placer = Placer(spreadSeed = settings.instance.hashCode(), upstreamLimits, requestQuarantine)
     private val view = ClusterView(reader, timer, placer)
     private val placements = PlacementClient(settings.instance, timer, peerClient, watcher, placer, limits, quarantine)
-    private val budget = RetryBudget { settings.retryFloor / watcher.entries }
+    private val budget =
+        RetryBudget(keptShare = RetryParts.KEPT_SHARE) { RetryParts.ofInstance(settings.retryFloor, watcher.entries) }
     private val availability = UpstreamAvailability(timer, table, { view.drains }) { view.applyRecords(table.all()) }
     private val requestHandler =
         RequestHandler(
--- a/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/placement/PlacementClient.kt
@@ -227,6 +227,8 @@
         request: PlacementRequest,
         onPlaced: (Placement, String) -> Unit,
     ) {
+        // Only the coordinator knows what is left of the budget beyond the part of this instance.
+        if (request.needsRetryGrant) return onPlaced(REFUSED_RETRY, "self")
         val placement = localPlacer.place(request, timer.nowMs())
         if (placement == null) {
             localWaiting[request.request] = onPlaced
@@ -356,6 +358,7 @@
         /** Delay after a report without an answer. */
         const val REPORT_RETRY_MS = 400L
         const val EXPIRED_RETRY_MS = 300L
+        val REFUSED_RETRY = Placement.Refused(RefusedReason.RETRY_BUDGET, retryAfterMs = 500)
         const val MAX_PENDING_RESULTS = 1_000
         const val MAX_PENDING_RUNS = 256
         const val MAX_PENDING_QUARANTINES = 256
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Dispatcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Dispatcher.kt
@@ -1,10 +1,10 @@
 package samphirechute.serving.relay
 
-import samphirechute.core.HostPort
 import samphirechute.core.UpstreamId
 import samphirechute.routing.placing.Placement
 import samphirechute.routing.placing.PlacementOutcome
 import samphirechute.routing.placing.PlacementRequest
+import samphirechute.routing.placing.RefusedReason
 import samphirechute.routing.quarantine.Quarantine
 import samphirechute.routing.quarantine.RunOutcome
 
@@ -16,6 +16,9 @@
         retryAfterMs: Long,
     )
 
+    /** The retry that [Dispatcher.owesRetry] stands for is not sent, since no budget is left for it. */
+    fun onRetryRefused(by: String)
+
     fun onSilent(silent: Attempt)
 
     fun onAttemptEnded(
@@ -40,8 +43,7 @@
     private val accepted = request.accepted
     private val excluded = LinkedHashSet<UpstreamId>()
 
-    /** The addresses of the sendings; a restarted upstream has the address under another identifier. */
-    private val addresses = HashSet<HostPort>()
+    private val addresses = SentAddresses()
     private var memory: MemoryHold? = null
 
     /** Placements that were not used, see [decline]. */
@@ -59,6 +61,15 @@
     var isWatched = false
         private set
 
+    /** True for a retry that has not been charged to the budget; its placement has to be granted together with one. */
+    var owesRetry = false
+
+    /** True if the last placement was asked for together with a retry. */
+    private var hasAskedForRetry = false
+
+    /** True if the loss of the request would cost callers as much as that of many others. */
+    val isCostly: Boolean get() = PlacementRequest.isCostlyToLose(request.caller.promptTokens, stream.hasBegun)
+
     /** Leaves an upstream out of all later placements. */
     fun exclude(upstream: UpstreamId) {
         excluded += upstream
@@ -69,31 +80,16 @@
         context.placementClient.hasAlternative(accepted.service, excluded + current)
 
     /** Asks for a placement and sends the request to it. */
-    fun place() = place(null, ::onPlacement)
+    fun place() = place(null, owesRetry, ::onPlacement)
 
     /** Asks for a placement, on another upstream than [current] if that is given. */
     fun place(
         current: UpstreamId?,
+        needsRetryGrant: Boolean,
         onPlaced: (Placement, String) -> Unit,
     ) {
-        val placementRequest =
-            PlacementRequest(
-                request.id,
-                context.settings.instance,
-                context.settings.failureDomain,
-                accepted.service,
-                accepted.team?.name,
-                accepted.team?.priority ?: request.route.priority,
-                request.caller.promptTokens,
-                request.caller.answerTokens,
-                request.route.targetMs,
-                request.route.targetGapMs,
-                request.remainingMs,
-                excluded + listOfNotNull(current),
-                stream.waitedMs,
-                hasBegun = stream.hasBegun,
-                traits = accepted.traits,
-            )
+        val placementRequest = request.placementRequest(excluded + listOfNotNull(current), stream, needsRetryGrant)
+        hasAskedForRetry = needsRetryGrant
         context.placementClient.place(placementRequest) { placement, by ->
             if (isDone()) release(placement) else onPlaced(placement, by)
         }
@@ -102,9 +98,35 @@
     fun onPlacement(
         placement: Placement,
         by: String,
-    ) = when (placement) {
-        is Placement.Granted -> dispatch(placement, by)
-        is Placement.Refused -> listener.onRefused(placement.reason.name.lowercase(), placement.retryAfterMs)
+    ) {
+        when (placement) {
+            is Placement.Granted -> {
+                if (owesRetry && !payRetry(placement)) return onUnpaid(placement, by)
+                owesRetry = false
+                dispatch(placement, by)
+            }
+
+            is Placement.Refused -> {
+                if (placement.reason == RefusedReason.RETRY_BUDGET) return onUnpaid(placement, by)
+                listener.onRefused(placement.reason.name.lowercase(), placement.retryAfterMs)
+            }
+        }
+    }
+
+    /** Charges the retry on [granted] to the budget of the coordinator or of this instance; returns false if both refuse. */
+    fun payRetry(granted: Placement.Granted) =
+        granted.hasRetryGrant || context.budget.tryAcquire(request.nowMs, isCostly)
+
+    /**
+     * Gives up the retry if there is no budget for it. A placement that was asked for beside a silent attempt may have been
+     * asked for without a retry, or with one that this instance has paid meanwhile; then it is asked for once more.
+     */
+    private fun onUnpaid(
+        placement: Placement,
+        by: String,
+    ) {
+        release(placement)
+        if (owesRetry == hasAskedForRetry) listener.onRetryRefused(by) else place()
     }
 
     /** Returns a placement that is not used. */
@@ -232,21 +254,10 @@
         if (failure != null) return onAttemptEnded(next, AttemptResult.NoMemory(failure))
         val team = accepted.team?.name
         val dispatch = Dispatch(granted.upstream, hold.helpers, request.remainingMs, team, stream.lastEventId)
-        val usesNewConnection = needsNewConnection(granted.address)
+        val usesNewConnection = addresses.needsNewConnection(granted.address, request.isRepeatable)
         next.start(granted.address, dispatch, mustRunOnce = !request.isRepeatable, usesNewConnection)
     }
 
-    /**
-     * Returns whether a sending must not take a used connection. On that of an earlier sending, a late copy of its answer has
-     * the same identifier as the answer to this one. On any other, part of a copy of an older answer may end the second
-     * sending of a repeatable request, after which there is no other. A request that must run once is sent again only
-     * after a refusal, where an upstream at its limit of connections would reset a new one.
-     */
-    private fun needsNewConnection(address: HostPort): Boolean {
-        val isSecond = addresses.isNotEmpty()
-        return !addresses.add(address) || (request.isRepeatable && isSecond)
-    }
-
     private fun onAttemptEnded(
         ended: Attempt,
         result: AttemptResult,
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -28,6 +28,9 @@
     private val replacement = SilentReplacement(request, rules, stream, dispatcher)
     private val final: FinalResponse =
         FinalResponse(request, rules, stream, { dispatcher.upstream }, ::onFinish) { onEnd(this) }
+
+    /** The upstream and the failure that the current retry follows. */
+    private var lastRetry: Pair<UpstreamId, String>? = null
     private val timeout: Subscription = context.timer.after(request.remainingMs) { onTimeout() }
 
     /** How long the whole answer took, or null while there is none and after a rejection or failure. */
@@ -44,6 +47,11 @@
         retryAfterMs: Long,
     ) = final.giveUp(reason, retryAfterMs)
 
+    override fun onRetryRefused(by: String) {
+        val (target, reason) = lastRetry ?: return
+        denyRetry(target, reason, "budget", by)
+    }
+
     override fun onSilent(silent: Attempt) = replacement.find(silent)
 
     /**
@@ -134,14 +142,21 @@
         isFree: Boolean = false,
     ) {
         dispatcher.exclude(target)
-        val isAllowed = rules.mayRunAgain() && rules.maySendAgain()
-        // A replacement was charged to the budget before the silent attempt was ended for it.
-        if (!isAllowed || !(isFree || replacement.isGranted || context.budget.tryAcquire(request.nowMs))) {
-            val limit = if (isAllowed) "budget" else "attempts_or_time"
-            request.log("retry_denied", mapOf("upstream" to target, "reason" to reason, "limit" to limit))
-            return final.giveUp(reason)
-        }
-        request.log("retrying", mapOf("upstream" to target, "reason" to reason))
+        if (!rules.mayRunAgain() || !rules.maySendAgain()) return denyRetry(target, reason, "attempts_or_time", "self")
+        val paidBy =
+            when {
+                isFree -> "free"
+
+                // It was charged to the budget before the silent attempt was ended for it.
+                replacement.isGranted -> "replacement"
+
+                context.budget.tryAcquire(request.nowMs, dispatcher.isCostly) -> "self"
+
+                else -> "coordinator"
+            }
+        dispatcher.owesRetry = paidBy == "coordinator"
+        lastRetry = target to reason
+        request.log("retrying", mapOf("upstream" to target, "reason" to reason, "paid_by" to paidBy))
         val next = replacement.take()
         when {
             next != null -> dispatcher.startAttempt(next.granted, next.by)
@@ -153,6 +168,16 @@
         }
     }
 
+    private fun denyRetry(
+        target: UpstreamId,
+        reason: String,
+        limit: String,
+        by: String,
+    ) {
+        request.log("retry_denied", mapOf("upstream" to target, "reason" to reason, "limit" to limit, "by" to by))
+        final.giveUp(reason)
+    }
+
     /** Sends the final answer because the process ends; a stream that has begun is broken off. */
     fun endWithProcess(isLate: (Long) -> Boolean) {
         request.log(
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RelayedRequest.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RelayedRequest.kt
@@ -5,6 +5,7 @@
 import samphirechute.core.UpstreamId
 import samphirechute.net.Exchange
 import samphirechute.routing.placing.PlacementOutcome
+import samphirechute.routing.placing.PlacementRequest
 import samphirechute.routing.placing.PlacementResult
 import samphirechute.serving.cluster.Repeatability
 import samphirechute.serving.cluster.Route
@@ -43,6 +44,30 @@
         firstByteMs: Long?,
     ) = PlacementResult(id, target, outcome, firstByteMs, context.settings.failureDomain)
 
+    /** Returns the request for a placement outside [excluded], with a retry if [needsRetryGrant]. */
+    fun placementRequest(
+        excluded: Set<UpstreamId>,
+        stream: RelayedStream,
+        needsRetryGrant: Boolean,
+    ) = PlacementRequest(
+        id,
+        context.settings.instance,
+        context.settings.failureDomain,
+        accepted.service,
+        accepted.team?.name,
+        accepted.team?.priority ?: route.priority,
+        caller.promptTokens,
+        caller.answerTokens,
+        route.targetMs,
+        route.targetGapMs,
+        remainingMs,
+        excluded,
+        stream.waitedMs,
+        hasBegun = stream.hasBegun,
+        traits = accepted.traits,
+        needsRetryGrant = needsRetryGrant,
+    )
+
     /** Reports that a placement has ended, or that an upstream failed the request. */
     fun reportEnd(
         target: UpstreamId,
--- a/serving/src/main/kotlin/samphirechute/serving/relay/SilentReplacement.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/SilentReplacement.kt
@@ -30,7 +30,8 @@
         if (isPending || !isAllowed(current)) return
         isPending = true
         val progress = silent.progress
-        dispatcher.place(current) { placement, by ->
+        val needsRetryGrant = !context.budget.hasRemaining(request.nowMs, dispatcher.isCostly)
+        dispatcher.place(current, needsRetryGrant) { placement, by ->
             isPending = false
             when {
                 // The attempt has ended meanwhile, and the request waits for this placement.
@@ -64,12 +65,11 @@
         if (isPending) context.placementClient.withdraw(request.id)
     }
 
-    private fun isAllowed(current: UpstreamId) =
-        rules.mayReplace() && context.budget.hasRemaining(request.nowMs) && dispatcher.hasAlternative(current)
+    private fun isAllowed(current: UpstreamId) = rules.mayReplace() && dispatcher.hasAlternative(current)
 
     /** The check that counts against the budget comes last. */
     private fun isUsable(placement: Placement.Granted) =
-        rules.maySendAgain() && dispatcher.isUsable(placement) && context.budget.tryAcquire(request.nowMs)
+        rules.maySendAgain() && dispatcher.isUsable(placement) && dispatcher.payRetry(placement)
 
     /** Goes on waiting for [current], since no other upstream takes the request or an answer has come meanwhile. */
     private fun keep(
