Bound the memory that the heads of all connections take

Cause: a head of legal size made of short lines takes many times its bytes as objects, and only the bytes of one head were bounded.

Change: HeadMemory gives the decoder of HttpServerCodec its tables for headers and trailers and counts each line as it is added. The connection that holds the most for a request that has not reached the handler gives way: it gets 503 memory_full, not_run, and its decoder is dropped with the partly read head.

--- a/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/Daemon.kt
@@ -25,6 +25,7 @@
 import samphirechute.daemon.document.DocumentRunners
 import samphirechute.daemon.document.FindReply
 import samphirechute.daemon.http.DaemonApi
+import samphirechute.daemon.metrics.MemoryMetrics
 import samphirechute.daemon.metrics.RequestMetrics
 import samphirechute.daemon.metrics.TrafficMetrics
 import samphirechute.daemon.operator.OperatorApi
@@ -100,6 +101,7 @@
         }
         JvmMetrics.builder().register(registry)
         TrafficMetrics.register(registry, runtime.client.traffic, server.traffic)
+        MemoryMetrics.register(registry, server)
         return address
     }
 
--- a/net/src/main/kotlin/samphirechute/net/HttpServer.kt
+++ b/net/src/main/kotlin/samphirechute/net/HttpServer.kt
@@ -10,6 +10,8 @@
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeadersFactory
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.util.concurrent.GlobalEventExecutor
 import samphirechute.core.HostPort
@@ -24,6 +26,7 @@
     private val limits: ServerLimits = ServerLimits(),
     private val handler: (Exchange) -> Unit,
 ) : AutoCloseable {
+    private val memory = RequestMemory(limits.maxHeadMemoryBytes)
     private val budget = BodyBudget(limits.maxBufferedBytes)
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private var listener: Channel? = null
@@ -46,6 +49,10 @@
     /** Bytes of responses that were written to connections and not yet passed to the operating system. */
     val unsentBytes: Long get() = connections.sumOf { it.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L }
 
+    /** Memory of the heads of requests, as [RequestMemory] counts it, and requests refused because it was used up. */
+    val headMemoryBytes: Long get() = memory.usedBytes
+    val memoryRefusals: Long get() = memory.refusals
+
     /** Bytes of request bodies currently held in memory. */
     val bufferedBytes: Long get() = budget.usedBytes
 
@@ -101,14 +108,31 @@
                 }
                 connections += channel
                 acceptedConnections++
-                channel.pipeline().addLast(
-                    traffic.handler,
-                    HttpServerCodec(limits.maxHeadBytes, limits.maxHeadBytes, CHUNK_BYTES),
-                    ServerConnection(loop, limits, budget, { closesAfterResponse }, { isClosingIdle }, ::dispatch),
-                )
+                val connection =
+                    ServerConnection(
+                        loop,
+                        limits,
+                        budget,
+                        memory,
+                        channel,
+                        { closesAfterResponse },
+                        { isClosingIdle },
+                        ::dispatch,
+                    )
+                channel.pipeline().addLast(traffic.handler, codec(connection.headMemory), connection)
             }
         }
 
+    private fun codec(headers: HttpHeadersFactory) =
+        HttpServerCodec(
+            HttpDecoderConfig()
+                .setMaxInitialLineLength(limits.maxHeadBytes)
+                .setMaxHeaderSize(limits.maxHeadBytes)
+                .setMaxChunkSize(CHUNK_BYTES)
+                .setHeadersFactory(headers)
+                .setTrailersFactory(headers),
+        )
+
     private companion object {
         const val CHUNK_BYTES = 64 * 1024
         const val LOW_MARK = 32 * 1024
--- a/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerConnection.kt
@@ -2,14 +2,17 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DuplexChannel
+import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -28,6 +31,8 @@
     private val loop: EventLoop,
     private val limits: ServerLimits,
     private val budget: BodyBudget,
+    memory: RequestMemory,
+    channel: SocketChannel,
     private val isLastOnConnection: () -> Boolean,
     /** Whether to close after the current response, even if its head did not announce "Connection: close". */
     private val isClosingIdle: () -> Boolean,
@@ -38,6 +43,13 @@
     private var activeExchange: ServerExchange? = null
     private var timeout: Subscription? = null
     private var isRefused = false
+    private val held =
+        memory.Holder(channel.remoteAddress()?.address) {
+            channel.pipeline().context(this)?.let { refuse(it, ServerError.MemoryFull) }
+        }
+
+    /** Counts the heads of this connection as they are decoded. */
+    val headMemory = HeadMemory(held)
 
     /** True while no request is being read or answered, and the connection is not about to be closed anyway. */
     val isIdle: Boolean get() = !isRefused && activeExchange == null && currentReader == null && queued.isEmpty()
@@ -59,8 +71,8 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timeout?.cancel()
-        queued.forEach(ReferenceCountUtil::release)
-        queued.clear()
+        held.close()
+        dropQueued()
         currentReader?.discard()
         currentReader = null
         activeExchange?.handleDisconnect()
@@ -110,6 +122,7 @@
         armTimeout(context, limits.readTimeoutMs)
         reader.append(content.content())?.let { return refuse(context, it) }
         if (content !is LastHttpContent) return
+        headMemory.release(content.trailingHeaders())
         currentReader = null
         timeout?.cancel()
         dispatch(context, reader)
@@ -127,6 +140,7 @@
                 isLastOnConnection,
             ) { isLast -> completeExchange(context, reader.head, isLast) }
         activeExchange = exchange
+        held.isEvictable = false
         try {
             handler(exchange)
         } catch (error: Exception) {
@@ -141,6 +155,8 @@
         isLast: Boolean,
     ) {
         activeExchange = null
+        held.isEvictable = true
+        headMemory.release(head.headers())
         if (isLast || (isClosingIdle() && isIdle)) return closeAfterResponse(context, head)
         armTimeout(context, limits.keepAliveMs)
         // Posted rather than called, so that the responses to many queued requests do not nest.
@@ -178,6 +194,7 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        if (cause is HeadMemoryException) return refuse(context, ServerError.MemoryFull)
         val isTooLong = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
         refuse(context, if (isTooLong) ServerError.HeadTooLarge(limits.maxHeadBytes) else ServerError.Malformed)
     }
@@ -186,10 +203,13 @@
         context: ChannelHandlerContext,
         error: ServerError,
     ) {
+        if (isRefused) return
         isRefused = true
         currentReader?.discard()
         currentReader = null
         timeout?.cancel()
+        held.close()
+        dropQueued()
         val response =
             DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
@@ -200,6 +220,22 @@
         response.headers()[HttpHeaderNames.CONNECTION] = "close"
         HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
         context.writeAndFlush(response).addListener { lingerBeforeClose(context) }
+        // The decoder goes with the head that it has read in part; what the client still sends is dropped unread.
+        context.pipeline().replace(HttpServerCodec::class.java, null, InputSink())
+    }
+
+    private fun dropQueued() {
+        queued.forEach(ReferenceCountUtil::release)
+        queued.clear()
+    }
+
+    private class InputSink : ChannelInboundHandlerAdapter() {
+        override fun channelRead(
+            context: ChannelHandlerContext,
+            message: Any,
+        ) {
+            ReferenceCountUtil.release(message)
+        }
     }
 
     /**
--- a/net/src/main/kotlin/samphirechute/net/ServerError.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerError.kt
@@ -32,6 +32,9 @@
     data object BuffersFull :
         ServerError(503, "buffers_full", "this instance holds as many request bodies as it can; retry in 1 s")
 
+    data object MemoryFull :
+        ServerError(503, "memory_full", "this instance holds as many request heads as it can; retry in 1 s")
+
     data object Internal : ServerError(500, "internal", "this instance failed to handle the request")
 
     fun body() = Json.encodeToString(JsonObject.serializer(), toJson()).encodeToByteArray()
@@ -42,7 +45,11 @@
                 put("code", code)
                 put("message", message)
                 put("run_state", if (this@ServerError == Internal) "unknown" else "not_run")
-                if (this@ServerError == BuffersFull) put("retry_after_ms", RETRY_AFTER_MS)
+                if (this@ServerError == BuffersFull ||
+                    this@ServerError == MemoryFull
+                ) {
+                    put("retry_after_ms", RETRY_AFTER_MS)
+                }
             }
         }
 
