Order the queue by teams and work, and refuse what cannot start in time

The queue is now WorkQueue in routing/queue behind the interface PoolQueue: order by priority and start-time fair queueing between teams, expected wait from the prefill ahead corrected by the rate at which the queue drains, refusal on arrival beyond 0.7 of the target and of waiting requests that cannot start, returns spread by priority. A long prompt that waits blocks shorter prompts with a long prefill for 1 s. While nothing waits, nothing changes.

--- a/routing/src/main/kotlin/samphirechute/routing/placing/CandidateSelector.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/CandidateSelector.kt
@@ -13,9 +13,10 @@
 ) {
     /** Returns the upstreams of the service that are open, whether or not they may take a request now. */
     fun open(request: PlacementRequest): List<UpstreamLoad> =
-        accounts.upstreams.filter {
-            it.upstream.service == request.service && it.upstream.isOpen && it.upstream.id !in request.excluded
-        }
+        open(request.service).filter { it.upstream.id !in request.excluded }
+
+    fun open(service: ServiceName): List<UpstreamLoad> =
+        accounts.upstreams.filter { it.upstream.service == service && it.upstream.isOpen }
 
     /** Returns whether the service has an open upstream that is not among [excluded] and may get a request now. */
     fun hasOpen(
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PlacementAccounts.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PlacementAccounts.kt
@@ -22,6 +22,9 @@
 
     operator fun contains(request: RequestId) = request in placements
 
+    /** Returns when a request was placed that has not ended, or null. */
+    fun placedMs(request: RequestId): Long? = placements[request]?.placedMs
+
     /** Replaces the known upstreams. Upstreams that remain keep their load. */
     fun setUpstreams(upstreams: List<PlacementTarget>) {
         val ids = upstreams.map { it.id }.toSet()
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -6,6 +6,8 @@
 import samphirechute.core.UpstreamId
 import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.quarantine.RequestQuarantine
+import samphirechute.routing.queue.QueueObserver
+import samphirechute.routing.queue.WorkQueue
 
 /** The outcome of a request that was waiting: either granted or refused. */
 data class PlacementDecision(
@@ -20,15 +22,22 @@
  * known about unreachable failure domains. It has no clock: callers pass the current time. The coordinator uses one for
  * the requests of all instances. Each entry instance has its own and uses it while no coordinator answers.
  */
-class Placer(
+class Placer internal constructor(
     /**
      * When set, short prompts are spread over engines in an order derived from this seed instead of being packed.
      * Placers that don't share their state would otherwise all pack the same engine.
      */
-    private val spreadSeed: Int? = null,
-    private val limits: UpstreamLimits = UpstreamLimits(),
-    private val quarantine: RequestQuarantine = RequestQuarantine(InstanceId("placer")),
+    private val spreadSeed: Int?,
+    private val limits: UpstreamLimits,
+    private val quarantine: RequestQuarantine,
+    private val createQueue: (PoolProfile) -> PoolQueue,
 ) {
+    constructor(
+        spreadSeed: Int? = null,
+        limits: UpstreamLimits = UpstreamLimits(),
+        quarantine: RequestQuarantine = RequestQuarantine(InstanceId("placer")),
+    ) : this(spreadSeed, limits, quarantine, ::WorkQueue)
+
     /**
      * True while other placers grant the same upstreams, as happens without a leader. Requests then stay in their own
      * failure domain if it has upstreams: each upstream is shared by fewer placers, and none is behind a network
@@ -49,12 +58,16 @@
     private val turnedAway = TurnedAwayTable()
     private val candidates = CandidateSelector(accounts, limits, turnedAway) { hasPeerPlacers }
     private val admission = Admission(candidates, limits, quarantine, turnedAway)
+    private val queueing = QueueAdmission(candidates)
+
+    /** Receives the decisions on the queues. */
+    var queueObserver: QueueObserver by queueing::observer
 
     /** Replaces the configured services. Services that remain keep their queues. */
     fun setPools(profiles: List<PoolProfile>) {
         val services = profiles.map { it.service }.toSet()
         pools.keys.retainAll(services)
-        profiles.forEach { profile -> pools.getOrPut(profile.service) { PoolQueue(profile) }.profile = profile }
+        profiles.forEach { profile -> pools.getOrPut(profile.service) { createQueue(profile) }.profile = profile }
     }
 
     /** Replaces the known upstreams. Upstreams that remain keep their load. */
@@ -75,13 +88,8 @@
     ): Placement? {
         val pool = pools[request.service] ?: return RefusalPolicy.noUpstream()
         admission.refuse(pool, request, isLearning, mayProbe, nowMs)?.let { return it }
-        if (!pool.hasPrecedingRequest(request)) tryPlace(pool, request, nowMs)?.let { return it }
-        val waitMs = pool.expectedWaitMs(request, nowMs)
-        val maxWaitMs = RefusalPolicy.maxWaitMs(request)
-        if (maxWaitMs == 0L) return RefusalPolicy.expired()
-        if (waitMs > maxWaitMs && !isLearning) return RefusalPolicy.overloaded(waitMs)
-        pool.add(request, nowMs + maxWaitMs, nowMs)
-        return null
+        if (!pool.hasPrecedingRequest(request, nowMs)) tryPlace(pool, request, nowMs)?.let { return it }
+        return queueing.enqueue(pool, request, isLearning, nowMs)
     }
 
     /**
@@ -99,6 +107,7 @@
         val profile = pools[request.service]?.profile?.engine
         val prefillMs = profile?.prefillMs(request.promptTokens) ?: 0.0
         accounts.commit(request, EngineSplit(listOf(load), prefillMs, 0.0), nowMs)
+        pools[request.service]?.recordGrant(request, nowMs)
         if (isJustSent) limits.charge(upstream, nowMs)
     }
 
@@ -109,9 +118,10 @@
     ): List<PlacementDecision> {
         accounts.recordOutcome(result, nowMs)
         result.turnedAway?.let { turnedAway.record(result.upstream, it, nowMs) }
+        val placedMs = accounts.placedMs(result.request)
         val ended = accounts.end(result.request, result.upstream, nowMs) ?: return emptyList()
         val pool = pools[ended.service] ?: return emptyList()
-        pool.recordEnd(nowMs)
+        pool.recordEnd(nowMs - (placedMs ?: nowMs), nowMs)
         return dispatch(pool, nowMs)
     }
 
@@ -120,7 +130,7 @@
         request: RequestId,
         nowMs: Long,
     ): List<PlacementDecision> {
-        pools.values.forEach { it.remove(request) }
+        pools.values.forEach { queueing.withdraw(it, request, nowMs) }
         accounts.release(request, nowMs)
         return pools.values.flatMap { dispatch(it, nowMs) }
     }
@@ -152,9 +162,8 @@
      */
     fun tick(nowMs: Long): List<PlacementDecision> {
         accounts.releaseOverdue(nowMs)
-        return pools.values.flatMap { pool ->
-            val expired = pool.removeExpired(nowMs).map { PlacementDecision(it, RefusalPolicy.expired()) }
-            expired + dispatch(pool, nowMs)
+        return pools.values.filter { it.size > 0 }.flatMap { pool ->
+            queueing.expire(pool, nowMs) + dispatch(pool, nowMs) + queueing.refuseHopeless(pool, isLearning, nowMs)
         }
     }
 
@@ -179,11 +188,17 @@
     ): List<PlacementDecision> {
         if (pool.size == 0) return emptyList()
         val decisions = ArrayList<PlacementDecision>()
+        val blocking = ArrayList<PlacementRequest>()
         for (request in pool.inOrder()) {
+            val isBlocked = blocking.any { pool.isBlocked(request, it) }
             val placement =
-                admission.refuseQuarantined(request, mayProbe, nowMs) ?: tryPlace(pool, request, nowMs) ?: continue
-            pool.remove(request.request)
-            decisions += PlacementDecision(request, placement)
+                admission.refuseQuarantined(request, mayProbe, nowMs)
+                    ?: if (isBlocked) null else tryPlace(pool, request, nowMs)
+            if (placement != null) {
+                decisions += queueing.dequeue(pool, request, placement, nowMs)
+            } else if (pool.isBlocking(request, nowMs)) {
+                blocking += request
+            }
         }
         return decisions
     }
@@ -249,6 +264,7 @@
         nowMs: Long,
     ) {
         accounts.commit(request, split, nowMs)
+        pools[request.service]?.recordGrant(request, nowMs)
         split.engines.forEach { limits.charge(it.upstream.id, nowMs) }
     }
 
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
@@ -1,100 +1,110 @@
 package samphirechute.routing.placing
 
 import samphirechute.core.RequestId
+import samphirechute.routing.queue.ExpectedWait
+import samphirechute.routing.queue.HopelessRequest
+import samphirechute.routing.queue.PoolCapacity
 
 /**
- * The queue of one service in a [Placer]: requests that wait for capacity, and the recent ends of requests, from which
- * it estimates how long a new one would wait.
+ * The queue of one service in a [Placer]: the requests that wait for capacity, their order, and how long a new one would wait.
  */
-internal class PoolQueue(
-    var profile: PoolProfile,
-) {
-    private val waiting = LinkedHashMap<RequestId, Waiting>()
-    private val endsMs = ArrayDeque<Long>()
-    private var promisedMs = 0L
+internal interface PoolQueue {
+    var profile: PoolProfile
 
-    val size: Int get() = waiting.size
+    val size: Int
 
     fun add(
         request: PlacementRequest,
         untilMs: Long,
         nowMs: Long,
-    ) {
-        waiting[request.request] = Waiting(request, nowMs, untilMs)
-    }
+    )
+
+    fun remove(request: RequestId): Boolean
 
+    /** Returns how long the request has been in the queue, or 0. */
     fun waitedMs(
         request: RequestId,
         nowMs: Long,
-    ): Long = waiting[request]?.let { nowMs - it.sinceMs } ?: 0
-
-    fun remove(request: RequestId) = waiting.remove(request) != null
-
-    /** Returns the requests by priority, and in order of arrival within a priority. */
-    fun inOrder(): List<PlacementRequest> =
-        waiting.values.sortedWith(compareBy({ it.request.priority }, { it.sinceMs })).map { it.request }
-
-    /** Returns whether a waiting request goes before [request]: as urgent or more so, and with a prompt no longer. */
-    fun hasPrecedingRequest(request: PlacementRequest) =
-        waiting.values.any {
-            it.request.priority <= request.priority && it.request.promptTokens <= request.promptTokens
-        }
-
-    /** Removes and returns the requests that have waited for as long as they may. */
-    fun removeExpired(nowMs: Long): List<PlacementRequest> {
-        val expired = waiting.values.filter { nowMs >= it.untilMs }.map { it.request }
-        expired.forEach { waiting.remove(it.request) }
-        return expired
-    }
-
-    /** Records that a running request of the service has ended. */
-    fun recordEnd(nowMs: Long) {
-        endsMs += nowMs
-        dropOldEnds(nowMs)
-    }
-
-    /** Returns the time a request will wait if requests keep ending at the rate of the last [WINDOW_MS]. */
-    fun expectedWaitMs(
+    ): Long
+
+    /** Returns the waiting requests in the order in which they are tried. */
+    fun inOrder(): List<PlacementRequest>
+
+    /** Returns whether [request] may not be placed before the waiting requests have been tried. */
+    fun hasPrecedingRequest(
+        request: PlacementRequest,
+        nowMs: Long,
+    ): Boolean
+
+    /** Returns whether [request], which could not be placed yet, keeps others in the queue behind it. */
+    fun isBlocking(
+        request: PlacementRequest,
+        nowMs: Long,
+    ): Boolean
+
+    /** Returns whether [later] is one of those that [first], which is blocking, keeps in the queue. */
+    fun isBlocked(
+        later: PlacementRequest,
+        first: PlacementRequest,
+    ): Boolean
+
+    /** Returns the requests that have waited for as long as they may. */
+    fun expired(nowMs: Long): List<PlacementRequest>
+
+    /** Removes and returns the requests that cannot be started before their callers give up. */
+    fun removeHopeless(
+        capacity: PoolCapacity,
+        nowMs: Long,
+    ): List<HopelessRequest>
+
+    /** Records that a request was granted, from this queue or without waiting. */
+    fun recordGrant(
+        request: PlacementRequest,
+        nowMs: Long,
+    )
+
+    /** Records that a request of the service has ended [heldMs] after its grant. */
+    fun recordEnd(
+        heldMs: Long,
+        nowMs: Long,
+    )
+
+    /** Takes note of the rate at which the queue should drain, while it is looked at. */
+    fun observe(
+        capacity: PoolCapacity,
+        nowMs: Long,
+    )
+
+    /** Returns how long [request] would wait, if it joined the queue now. */
+    fun expectedWait(
         request: PlacementRequest,
+        capacity: PoolCapacity,
         nowMs: Long,
-    ): Long {
-        dropOldEnds(nowMs)
-        val before = countPreceding(request)
-        if (before == 0) return 0
-        return (before + 1) * WINDOW_MS / maxOf(1, endsMs.size)
-    }
+    ): ExpectedWait
 
-    /** Returns the number of waiting requests that are at least as urgent. */
-    fun countPreceding(request: PlacementRequest) = waiting.values.count { it.request.priority <= request.priority }
+    /** Returns the longest expected wait with which [request] may join the queue; its caller gives up after [maxWaitMs]. */
+    fun longestExpectedMs(
+        request: PlacementRequest,
+        maxWaitMs: Long,
+    ): Long
+
+    /** Returns the number of waiting requests that go before [request]. */
+    fun countPreceding(request: PlacementRequest): Int
+
+    /** Returns when the caller of a request that is refused for its [expected] wait may come back. */
+    fun returnMs(
+        request: PlacementRequest,
+        expected: ExpectedWait,
+        nowMs: Long,
+    ): Long
 
     /**
-     * Returns the time after which a refused caller may come back: after [waitMs] at the earliest, and [intervalMs]
-     * after the caller that was refused before it.
+     * Returns the time after which a caller may come back that was refused because of limits of upstreams: after [waitMs]
+     * at the earliest, and [intervalMs] after the caller that was refused before it.
      */
     fun promiseReturn(
         waitMs: Long,
         intervalMs: Long,
         nowMs: Long,
-    ): Long {
-        promisedMs = minOf(maxOf(promisedMs + intervalMs, nowMs + waitMs), nowMs + LONGEST_RETURN_MS)
-        return promisedMs - nowMs
-    }
-
-    private fun dropOldEnds(nowMs: Long) {
-        while (endsMs.isNotEmpty() && endsMs.first() < nowMs - WINDOW_MS) endsMs.removeFirst()
-    }
-
-    private class Waiting(
-        val request: PlacementRequest,
-        val sinceMs: Long,
-        val untilMs: Long,
-    )
-
-    private companion object {
-        /** Ends that are older than this do not count in the estimate. */
-        const val WINDOW_MS = 2_000L
-
-        /** Callers do not wait for longer than this to come back. */
-        const val LONGEST_RETURN_MS = 30_000L
-    }
+    ): Long
 }
