Log and count the decisions on the queues of a coordinator

Operators could not see who waits, for how long, and from what a refusal was decided. The control process was not played with it.

--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -49,7 +49,10 @@
     private val quarantine = QuarantineRegistry(settings.instance, timer, requestQuarantine, metrics)
     private val quarantineStore = QuarantineStore(timer, quarantine, store::recordQuarantine)
     private var isSynchronizing = false
-    private val placer = Placer(limits = upstreamLimits, quarantine = requestQuarantine)
+    private val placer =
+        Placer(limits = upstreamLimits, quarantine = requestQuarantine).also {
+            it.queueObserver = QueueLog(timer, metrics) { it.waiting }
+        }
     private val view = ClusterView(reader, timer, placer)
     val registry: UpstreamRegistry =
         UpstreamRegistry(timer, settings.announceEveryMs, view::isConfigured, ::upstreamsChanged)
