--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -7,6 +7,8 @@
 import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.pace.PaceTable
 import samphirechute.routing.quarantine.RequestQuarantine
+import samphirechute.routing.queue.QueueObserver
+import samphirechute.routing.queue.WorkQueue
 import kotlin.random.Random
 
 /** The outcome of a request that was waiting: either granted or refused. */
@@ -33,13 +35,14 @@
     private val rules: EngineRules,
     /** How much load each upstream is given. */
     val pace: PaceTable,
+    private val createQueue: (PoolProfile) -> PoolQueue,
 ) {
     constructor(
         spreadSeed: Int? = null,
         limits: UpstreamLimits = UpstreamLimits(),
         quarantine: RequestQuarantine = RequestQuarantine(InstanceId("placer")),
         pace: PaceTable = PaceTable(Random(spreadSeed ?: 0)) { limits.placerCount },
-    ) : this(spreadSeed, limits, quarantine, EngineRules.ADAPTIVE, pace)
+    ) : this(spreadSeed, limits, quarantine, EngineRules.ADAPTIVE, pace, ::WorkQueue)
 
     /**
      * True while other placers grant the same upstreams, as happens without a leader. Requests then stay in their own
@@ -62,13 +65,17 @@
     private val turnedAway = TurnedAwayTable()
     private val candidates = CandidateSelector(accounts, limits, turnedAway, pace) { hasPeerPlacers }
     private val admission = Admission(candidates, limits, quarantine, turnedAway)
+    private val queueing = QueueAdmission(candidates)
+
+    /** Receives the decisions on the queues. */
+    var queueObserver: QueueObserver by queueing::observer
 
     /** Replaces the configured services. Services that remain keep their queues. */
     fun setPools(profiles: List<PoolProfile>) {
         val services = profiles.map { it.service }.toSet()
         pools.keys.retainAll(services)
         mixes.keys.retainAll(services)
-        profiles.forEach { profile -> pools.getOrPut(profile.service) { PoolQueue(profile) }.profile = profile }
+        profiles.forEach { profile -> pools.getOrPut(profile.service) { createQueue(profile) }.profile = profile }
     }
 
     /** Replaces the known upstreams. Upstreams that remain keep their load. */
@@ -93,13 +100,8 @@
         val pool = pools[request.service] ?: return RefusalPolicy.noUpstream()
         admission.refuse(pool, request, isLearning, mayProbe, nowMs)?.let { return it }
         recordDemand(pool.profile, request, nowMs)
-        if (!pool.hasPrecedingRequest(request)) tryPlace(pool, request, nowMs)?.let { return it }
-        val waitMs = pool.expectedWaitMs(request, nowMs)
-        val maxWaitMs = RefusalPolicy.maxWaitMs(request)
-        if (maxWaitMs == 0L) return RefusalPolicy.expired()
-        if (waitMs > maxWaitMs && !isLearning) return RefusalPolicy.overloaded(waitMs)
-        pool.add(request, nowMs + maxWaitMs, nowMs)
-        return null
+        if (!pool.hasPrecedingRequest(request, nowMs)) tryPlace(pool, request, nowMs)?.let { return it }
+        return queueing.enqueue(pool, request, isLearning, nowMs)
     }
 
     /**
@@ -117,6 +119,7 @@
         val profile = pools[request.service]?.profile?.engine
         val prefillMs = profile?.prefillMs(request.promptTokens) ?: 0.0
         accounts.commit(request, EngineSplit(listOf(load), prefillMs, 0.0), nowMs)
+        pools[request.service]?.recordGrant(request, nowMs)
         if (isJustSent) limits.charge(upstream, nowMs)
         pace.recordGrant(upstream, coldPerS(request.service), request.promptTokens, isOwn = false, nowMs)
     }
@@ -128,9 +131,10 @@
     ): List<PlacementDecision> {
         accounts.recordOutcome(result, nowMs)
         result.turnedAway?.let { turnedAway.record(result.upstream, it, nowMs) }
+        val placedMs = accounts.placedMs(result.request)
         val ended = accounts.end(result.request, result.upstream, nowMs) ?: return emptyList()
         val pool = pools[ended.service] ?: return emptyList()
-        pool.recordEnd(nowMs)
+        pool.recordEnd(nowMs - (placedMs ?: nowMs), nowMs)
         return dispatch(pool, nowMs)
     }
 
@@ -139,7 +143,7 @@
         request: RequestId,
         nowMs: Long,
     ): List<PlacementDecision> {
-        pools.values.forEach { it.remove(request) }
+        pools.values.forEach { queueing.withdraw(it, request, nowMs) }
         accounts.release(request, nowMs)
         return pools.values.flatMap { dispatch(it, nowMs) }
     }
@@ -171,9 +175,8 @@
      */
     fun tick(nowMs: Long): List<PlacementDecision> {
         accounts.releaseOverdue(nowMs)
-        return pools.values.flatMap { pool ->
-            val expired = pool.removeExpired(nowMs).map { PlacementDecision(it, RefusalPolicy.expired()) }
-            expired + dispatch(pool, nowMs)
+        return pools.values.filter { it.size > 0 }.flatMap { pool ->
+            queueing.expire(pool, nowMs) + dispatch(pool, nowMs) + queueing.refuseHopeless(pool, isLearning, nowMs)
         }
     }
 
@@ -198,11 +201,17 @@
     ): List<PlacementDecision> {
         if (pool.size == 0) return emptyList()
         val decisions = ArrayList<PlacementDecision>()
+        val blocking = ArrayList<PlacementRequest>()
         for (request in pool.inOrder()) {
+            val isBlocked = blocking.any { pool.isBlocked(request, it) }
             val placement =
-                admission.refuseQuarantined(request, mayProbe, nowMs) ?: tryPlace(pool, request, nowMs) ?: continue
-            pool.remove(request.request)
-            decisions += PlacementDecision(request, placement)
+                admission.refuseQuarantined(request, mayProbe, nowMs)
+                    ?: if (isBlocked) null else tryPlace(pool, request, nowMs)
+            if (placement != null) {
+                decisions += queueing.dequeue(pool, request, placement, nowMs)
+            } else if (pool.isBlocking(request, nowMs)) {
+                blocking += request
+            }
         }
         return decisions
     }
@@ -290,6 +299,7 @@
         nowMs: Long,
     ) {
         accounts.commit(request, split, nowMs)
+        pools[request.service]?.recordGrant(request, nowMs)
         split.engines.forEach {
             limits.charge(it.upstream.id, nowMs)
             val partTokens = request.promptTokens / split.engines.size
--- a/routing/src/test/kotlin/samphirechute/routing/placing/SimulatedFleet.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/SimulatedFleet.kt
@@ -7,7 +7,10 @@
 import samphirechute.core.ServiceName
 import samphirechute.core.UpstreamId
 import samphirechute.routing.limit.UpstreamLimits
+import samphirechute.routing.pace.PaceTable
 import samphirechute.routing.quarantine.RequestQuarantine
+import samphirechute.routing.queue.WorkQueue
+import kotlin.random.Random
 
 /** A kind of prompt, with what its caller expects and what a response is worth. */
 internal enum class PromptKind(
@@ -52,7 +55,9 @@
 ) {
     private val engines = slowness.mapIndexed(::SimulatedEngine)
     private val byId = engines.associateBy { it.target.id }
-    private val placer = Placer(null, UpstreamLimits(), RequestQuarantine(InstanceId("test")), rules)
+    private val pace = PaceTable(Random(0)) { 1 }
+    private val placer =
+        Placer(null, UpstreamLimits(), RequestQuarantine(InstanceId("test")), rules, pace, ::WorkQueue)
     private val open = LinkedHashMap<RequestId, Running>()
     private var nowMs = 0L
 
