--- a/routing/src/main/kotlin/samphirechute/routing/queue/EndRate.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/EndRate.kt
@@ -1,4 +1,4 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 /**
  * The rate at which requests of a service end and free what they hold. It is counted; a service that had little to do ends few
--- a/routing/src/main/kotlin/samphirechute/routing/queue/ExpectedWait.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/ExpectedWait.kt
@@ -1,4 +1,4 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 /** How long a request is expected to wait for capacity, and what it waits for. */
 data class ExpectedWait(
--- a/routing/src/main/kotlin/samphirechute/routing/queue/FairOrder.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/FairOrder.kt
@@ -1,4 +1,4 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 /**
  * The order in which waiting requests are tried: streams that have begun, then by priority. Within a priority, teams take
--- a/routing/src/main/kotlin/samphirechute/routing/queue/HopelessRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/HopelessRequest.kt
@@ -1,6 +1,4 @@
-package samphirechute.routing.queue
-
-import samphirechute.routing.placing.PlacementRequest
+package samphirechute.routing.placing
 
 /** A request that was taken from the queue because it cannot start before its caller gives up. */
 internal class HopelessRequest(
--- a/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/Placer.kt
@@ -7,8 +7,6 @@
 import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.pace.PaceTable
 import samphirechute.routing.quarantine.RequestQuarantine
-import samphirechute.routing.queue.QueueObserver
-import samphirechute.routing.queue.WorkQueue
 import kotlin.random.Random
 
 /** The outcome of a request that was waiting: either granted or refused. */
--- a/routing/src/main/kotlin/samphirechute/routing/queue/PoolCapacity.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PoolCapacity.kt
@@ -1,7 +1,4 @@
-package samphirechute.routing.queue
-
-import samphirechute.routing.placing.PoolProfile
-import samphirechute.routing.placing.UpstreamLoad
+package samphirechute.routing.placing
 
 /** What the open upstreams of a service have left, summed up once for each look at its queue. */
 internal class PoolCapacity(
--- a/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/PoolQueue.kt
@@ -1,9 +1,6 @@
 package samphirechute.routing.placing
 
 import samphirechute.core.RequestId
-import samphirechute.routing.queue.ExpectedWait
-import samphirechute.routing.queue.HopelessRequest
-import samphirechute.routing.queue.PoolCapacity
 
 /**
  * The queue of one service in a [Placer]: the requests that wait for capacity, their order, and how long a new one would wait.
--- a/routing/src/main/kotlin/samphirechute/routing/placing/QueueAdmission.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/QueueAdmission.kt
@@ -1,9 +1,6 @@
 package samphirechute.routing.placing
 
 import samphirechute.core.RequestId
-import samphirechute.routing.queue.ExpectedWait
-import samphirechute.routing.queue.PoolCapacity
-import samphirechute.routing.queue.QueueObserver
 
 /**
  * Decides which requests may join a queue and which may stay there, and tells an observer. A request that cannot be started before
--- a/routing/src/main/kotlin/samphirechute/routing/queue/QueueObserver.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/QueueObserver.kt
@@ -1,8 +1,6 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 import samphirechute.core.RequestId
-import samphirechute.routing.placing.Placement
-import samphirechute.routing.placing.PlacementRequest
 
 /** Receives each decision on the queues of a placer, to log and count it. */
 interface QueueObserver {
--- a/routing/src/main/kotlin/samphirechute/routing/queue/QueuedRequest.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/QueuedRequest.kt
@@ -1,6 +1,4 @@
-package samphirechute.routing.queue
-
-import samphirechute.routing.placing.PlacementRequest
+package samphirechute.routing.placing
 
 /** A request in a [WorkQueue]. */
 internal class QueuedRequest(
--- a/routing/src/main/kotlin/samphirechute/routing/queue/RequestWork.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/RequestWork.kt
@@ -1,7 +1,4 @@
-package samphirechute.routing.queue
-
-import samphirechute.routing.placing.EngineProfile
-import samphirechute.routing.placing.PlacementRequest
+package samphirechute.routing.placing
 
 /**
  * What a request takes from the upstreams of its service. Prompts differ by a factor of sixty, so the order and the expected wait
--- a/routing/src/main/kotlin/samphirechute/routing/queue/ReturnSchedule.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/ReturnSchedule.kt
@@ -1,4 +1,4 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 import java.util.TreeMap
 import kotlin.math.max
--- a/routing/src/main/kotlin/samphirechute/routing/queue/TeamShares.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/TeamShares.kt
@@ -1,4 +1,4 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 import samphirechute.core.TeamName
 import kotlin.math.max
--- a/routing/src/main/kotlin/samphirechute/routing/queue/WorkQueue.kt
+++ b/routing/src/main/kotlin/samphirechute/routing/placing/WorkQueue.kt
@@ -1,9 +1,6 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 import samphirechute.core.RequestId
-import samphirechute.routing.placing.PlacementRequest
-import samphirechute.routing.placing.PoolProfile
-import samphirechute.routing.placing.PoolQueue
 
 /**
  * A queue that is ordered by priority and fairly between teams, and that knows the work ahead of each request.
--- a/routing/src/test/kotlin/samphirechute/routing/queue/CountedQueue.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/CountedQueue.kt
@@ -1,9 +1,6 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 import samphirechute.core.RequestId
-import samphirechute.routing.placing.PlacementRequest
-import samphirechute.routing.placing.PoolProfile
-import samphirechute.routing.placing.PoolQueue
 
 /** The queue before [WorkQueue], to compare with: by priority and arrival, with an expected wait that counts requests. */
 internal class CountedQueue(
--- a/routing/src/test/kotlin/samphirechute/routing/queue/QueueLoad.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/QueueLoad.kt
@@ -1,4 +1,4 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 import samphirechute.core.FailureDomain
 import samphirechute.core.HostPort
@@ -9,16 +9,6 @@
 import samphirechute.core.UpstreamId
 import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.pace.PaceTable
-import samphirechute.routing.placing.EngineProfile
-import samphirechute.routing.placing.EngineRules
-import samphirechute.routing.placing.Placement
-import samphirechute.routing.placing.PlacementOutcome
-import samphirechute.routing.placing.PlacementRequest
-import samphirechute.routing.placing.PlacementResult
-import samphirechute.routing.placing.PlacementTarget
-import samphirechute.routing.placing.Placer
-import samphirechute.routing.placing.PoolProfile
-import samphirechute.routing.placing.PoolQueue
 import samphirechute.routing.quarantine.RequestQuarantine
 import java.util.PriorityQueue
 import kotlin.random.Random
--- a/routing/src/test/kotlin/samphirechute/routing/queue/QueueLoadSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/QueueLoadSpec.kt
@@ -1,12 +1,9 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 import org.junit.jupiter.api.Nested
-import samphirechute.routing.placing.PoolProfile
-import samphirechute.routing.placing.PoolQueue
-import samphirechute.routing.placing.RefusedReason
-import samphirechute.routing.queue.QueueLoad.Companion.LONG
-import samphirechute.routing.queue.QueueLoad.Companion.MEDIUM
-import samphirechute.routing.queue.QueueLoad.Companion.SHORT
+import samphirechute.routing.placing.QueueLoad.Companion.LONG
+import samphirechute.routing.placing.QueueLoad.Companion.MEDIUM
+import samphirechute.routing.placing.QueueLoad.Companion.SHORT
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
--- a/routing/src/test/kotlin/samphirechute/routing/placing/SimulatedFleet.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/SimulatedFleet.kt
@@ -9,7 +9,6 @@
 import samphirechute.routing.limit.UpstreamLimits
 import samphirechute.routing.pace.PaceTable
 import samphirechute.routing.quarantine.RequestQuarantine
-import samphirechute.routing.queue.WorkQueue
 import kotlin.random.Random
 
 /** A kind of prompt, with what its caller expects and what a response is worth. */
--- a/routing/src/test/kotlin/samphirechute/routing/queue/WorkQueueSpec.kt
+++ b/routing/src/test/kotlin/samphirechute/routing/placing/WorkQueueSpec.kt
@@ -1,4 +1,4 @@
-package samphirechute.routing.queue
+package samphirechute.routing.placing
 
 import org.junit.jupiter.api.Nested
 import samphirechute.core.TeamName
--- a/serving/src/main/kotlin/samphirechute/serving/control/QueueLog.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/QueueLog.kt
@@ -7,10 +7,10 @@
 import samphirechute.core.RequestId
 import samphirechute.core.log.KeyValueLog
 import samphirechute.core.time.Clock
+import samphirechute.routing.placing.ExpectedWait
 import samphirechute.routing.placing.Placement
 import samphirechute.routing.placing.PlacementRequest
-import samphirechute.routing.queue.ExpectedWait
-import samphirechute.routing.queue.QueueObserver
+import samphirechute.routing.placing.QueueObserver
 
 /**
  * Logs and counts the decisions on the queues of a control instance. Under overload each second brings thousands of
--- a/serving/src/test/kotlin/samphirechute/serving/control/QueueLogSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/control/QueueLogSpec.kt
@@ -7,10 +7,10 @@
 import samphirechute.core.ServiceName
 import samphirechute.core.TeamName
 import samphirechute.core.time.Clock
+import samphirechute.routing.placing.ExpectedWait
 import samphirechute.routing.placing.Placement
 import samphirechute.routing.placing.PlacementRequest
 import samphirechute.routing.placing.RefusedReason
-import samphirechute.routing.queue.ExpectedWait
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
