--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A configuration that was acknowledged on the first start is lost with two of five disks.
+# A configuration is lost with the disk of one machine, a moment after another one was removed and its successor counts.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 # Needs the build of the deploy file and review/build-2.sh.
 set -u
@@ -8,7 +8,7 @@
     echo "build first: the deploy file's build, then review/build-2.sh" >&2
     exit 2
 fi
-timeout -k 5 110 java -Xmx256m -cp target/review-2 FewVoters review/6/record.txt
+timeout -k 5 110 java -Xmx256m -cp target/review-2 Removal review/6/record.txt
 case $? in
     0) exit 0 ;;
     1) exit 1 ;;
--- a/review/stand-ins-2/Kit.java
+++ b/review/stand-ins-2/Kit.java
@@ -38,15 +38,17 @@
     private final Map<String, List<String>> commands = new LinkedHashMap<>();
     private final int net;
     private final int base;
-    private final int controls;
+    private int controls;
+    private final int zones;
     private final int entries;
-    private final int seeds;
+    private List<Integer> seeds = new ArrayList<>();
     private final int tolerance;
 
     Kit(Path recordFile, int controls, int entries, int tolerance) throws IOException {
         this.controls = controls;
+        this.zones = controls == 5 ? 5 : 3;
         this.entries = entries;
-        this.seeds = Math.min(3, controls);
+        for (int i = 0; i < Math.min(3, controls); i++) seeds.add(i);
         this.tolerance = tolerance;
         folder = Files.createTempDirectory("review-2-");
         record = new PrintWriter(Files.newBufferedWriter(recordFile, StandardCharsets.UTF_8), true);
@@ -124,7 +126,7 @@
     }
 
     private int zoneCount() {
-        return controls >= 5 ? 5 : 3;
+        return zones;
     }
 
     int controls() {
@@ -148,6 +150,17 @@
         start("entry", index, entryIp(index), isFirstStart);
     }
 
+    /** Adds a core machine at a new address, with an empty disk. */
+    void addControl() throws IOException {
+        startControl(controls, false);
+        controls++;
+    }
+
+    /** Settings that are written from now on name these seeds. */
+    void useSeeds(List<Integer> next) {
+        seeds = next;
+    }
+
     /** Ends a process as a loss of power does for its callers: at once, without a signal that it could handle. */
     void killControl(int index) throws Exception {
         kill("control-" + index);
@@ -256,8 +269,8 @@
     private String settings(String role, int index, String ip, boolean isFirstStart) {
         boolean isControl = role.equals("control");
         StringBuilder list = new StringBuilder();
-        for (int i = 0; i < seeds; i++) {
-            list.append(i == 0 ? "" : ",").append('"').append(controlIp(i)).append(':').append(base + CONTROL).append('"');
+        for (int i : seeds) {
+            list.append(list.isEmpty() ? "" : ",").append('"').append(controlIp(i)).append(':').append(base + CONTROL).append('"');
         }
         String listen = isControl
             ? "\"control\":\"" + ip + ":" + (base + CONTROL) + "\""
