End the processes of the second review's scripts also when they are cut off

Cause: a killed script left its program running, and a killed program its processes. Change: the script ends by identifier what its program has started, and the program ends with its script.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,9 +8,20 @@
     echo "build first: the deploy file's build, then review/build-2.sh" >&2
     exit 2
 fi
-timeout -k 5 110 java -Xmx256m -cp target/review-2 GreyRefusal review/8/record.txt
-case $? in
-    0) exit 0 ;;
-    1) exit 1 ;;
+# Processes that outlive the program that started them, as when it is killed, are ended by their identifiers.
+PIDS="$(mktemp)"
+export PIDS SCRIPT_PID="$$"
+clean_up() {
+    while read -r pid; do kill -9 "$pid" 2>/dev/null; done <"$PIDS"
+    rm -f "$PIDS"
+}
+timeout -k 5 105 java -Xmx256m -cp target/review-2 GreyRefusal review/8/record.txt &
+run=$!
+trap 'kill "$run" 2>/dev/null; wait "$run" 2>/dev/null; clean_up; exit 2' TERM INT HUP
+wait "$run"
+result=$?
+clean_up
+case $result in
+    0 | 1) exit "$result" ;;
     *) exit 2 ;;
 esac
--- a/review/stand-ins-2/Kit.java
+++ b/review/stand-ins-2/Kit.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -36,6 +37,7 @@
     private final long startedNs = System.nanoTime();
     private final Map<String, Process> processes = new TreeMap<>();
     private final Map<String, List<String>> commands = new LinkedHashMap<>();
+    private boolean isClosed;
     private final int net;
     private final int base;
     private int controls;
@@ -73,6 +75,7 @@
 
     /** Runs a case and ends the process with its result. */
     static void run(Case body) {
+        endWithScript();
         int result = NOT_RUN;
         try {
             result = body.run();
@@ -82,6 +85,16 @@
         System.exit(result);
     }
 
+    /** Ends this process, and with it all that it has started, when the script that runs it has been killed. */
+    private static void endWithScript() {
+        String script = System.getenv("SCRIPT_PID");
+        if (script == null) return;
+        Replica.daemon(() -> {
+            while (ProcessHandle.of(Long.parseLong(script)).map(ProcessHandle::isAlive).orElse(false)) Replica.sleep(500);
+            System.exit(NOT_RUN);
+        });
+    }
+
     interface Case {
         int run() throws Exception;
     }
@@ -225,6 +238,7 @@
 
     @Override
     public synchronized void close() {
+        isClosed = true;
         processes.values().forEach(Process::destroyForcibly);
         for (Process process : processes.values()) {
             try {
@@ -251,6 +265,7 @@
     }
 
     private synchronized void start(String role, int index, String ip, boolean isFirstStart) throws IOException {
+        if (isClosed) throw new IOException("the run has been cut off");
         String name = role + "-" + index;
         boolean isControl = role.equals("control");
         Path settings = folder.resolve(name + ".json");
@@ -262,7 +277,10 @@
         variables.put("SAMPHIRECHUTE_BOOT", settings.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
-        processes.put(name, builder.start());
+        Process process = builder.start();
+        processes.put(name, process);
+        String pids = System.getenv("PIDS");
+        if (pids != null) Files.writeString(Path.of(pids), process.pid() + "\n", StandardOpenOption.APPEND);
         note(name + " started at " + ip + ", bootstrap " + isFirstStart);
     }
 
