Let half of an even number of voters go on once a disk is known to be lost

Cause: four voters need three. Until the silent voter is removed (0.7 s) the store counts the machine that was removed and the disk that was lost, and the two that are left cannot tell them from two that are cut off. In the log of both campaign again and again with votes_before=2 needed=3. The machine whose disk was lost is back by then, but nobody asks it.

Change: a request for a vote names the disk that is asked, and a machine that has another one by now answers that the disk is lost. Half of an even number of voters is then a quorum. The lost disks of a term are fixed before its votes are asked for, and while a change of the membership is not known to be committed, a quorum of the old and of the new membership is needed; a second Noop in the log shows that it was committed. The leader removes the lost disk first. New log line voter_disk_lost, new field lost_disks of election_started.

Evidence: MembershipManagerSpec, "a removed member is no obstacle when a disk is lost at the same moment or soon after", fails on ("a removed, b lost after 0 ms") and passes.

--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -25,10 +25,12 @@
 import samphirechute.state.host.RaftDriver
 import samphirechute.state.host.member
 import samphirechute.state.raft.AppliedEntry
+import samphirechute.state.raft.DiskIdentity
 import samphirechute.state.raft.ProposalOutcome
 import samphirechute.state.raft.RaftMessage
 import samphirechute.state.raft.RaftNode
 import samphirechute.state.raft.RaftTimings
+import samphirechute.state.raft.identity
 import samphirechute.state.store.AdoptedConfig
 import samphirechute.state.store.StoreState
 import java.util.UUID
@@ -130,9 +132,13 @@
                     "preliminary" to campaign.isPreVote,
                     "votes_before" to campaign.grantsBefore,
                     "needed" to campaign.needed,
+                    "lost_disks" to campaign.lostDisks.map(::describe),
                 ),
             )
         }
+        driver.onDiskLost = { disk ->
+            log.event("voter_disk_lost", mapOf("instance" to disk.instance, "disk" to disk.diskId))
+        }
         driver.onStopped = { reason ->
             log.warn("store_stopped", mapOf("reason" to reason))
             onStopped(reason)
@@ -285,7 +291,9 @@
         }
     }
 
-    private fun describe(members: List<VotingMember>) = members.joinToString(",") { "${it.instance}/${it.diskId}" }
+    private fun describe(members: List<VotingMember>) = members.joinToString(",") { describe(it.identity) }
+
+    private fun describe(disk: DiskIdentity) = "${disk.instance}/${disk.diskId}"
 
     private fun proposeLocally(
         command: Command,
--- a/state/src/main/kotlin/samphirechute/state/command/Command.kt
+++ b/state/src/main/kotlin/samphirechute/state/command/Command.kt
@@ -20,6 +20,10 @@
  */
 @Serializable
 sealed class Command {
+    /**
+     * Begins the entries of a leader. Each further one of the same term shows that the change of the membership before it
+     * was committed when the leader appended it.
+     */
     @Serializable
     @SerialName("noop")
     data object Noop : Command()
--- a/state/src/main/kotlin/samphirechute/state/host/MembershipManager.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/MembershipManager.kt
@@ -40,6 +40,11 @@
                 propose(Command.RemoveMember(operationId("leave", due, node), member.instance))
             }
 
+            is DueChange.RemoveLost -> {
+                log.event("member_removing", fields + mapOf("reason" to "disk_lost"))
+                propose(Command.RemoveMember(operationId("lost", due, node), member.instance))
+            }
+
             is DueChange.RemoveSilent -> {
                 log.event("member_removing", fields + mapOf("reason" to "silent", "silent_ms" to due.silentMs))
                 propose(Command.RemoveMember(operationId("leave", due, node), member.instance))
--- a/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/RaftDriver.kt
@@ -9,6 +9,7 @@
 import samphirechute.state.disk.DiskThread
 import samphirechute.state.disk.StoreDisk
 import samphirechute.state.raft.AppliedEntry
+import samphirechute.state.raft.DiskIdentity
 import samphirechute.state.raft.ProposalOutcome
 import samphirechute.state.raft.RaftInput
 import samphirechute.state.raft.RaftMessage
@@ -54,6 +55,9 @@
     /** Called when this member asks the others for pre-votes or votes. */
     var onCampaign: (RaftOutput.Campaigning) -> Unit = {}
 
+    /** Called when this member learns that the disk of a voter is lost. */
+    var onDiskLost: (DiskIdentity) -> Unit = {}
+
     /** Called when the addition of a member ends without a result. */
     var onAdditionEnded: (RaftOutput.AdditionEnded) -> Unit = {}
 
@@ -143,6 +147,7 @@
             is RaftOutput.LeadershipGained -> onLeadershipChanged(output.term, true)
             is RaftOutput.LeadershipLost -> onLeadershipChanged(output.term, false)
             is RaftOutput.Campaigning -> onCampaign(output)
+            is RaftOutput.DiskLost -> onDiskLost(output.disk)
             is RaftOutput.AdditionEnded -> onAdditionEnded(output)
             is RaftOutput.Stopped -> onStopped(output.reason)
         }
--- a/state/src/main/kotlin/samphirechute/state/raft/Election.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Election.kt
@@ -14,7 +14,7 @@
  */
 internal class Election(
     private val member: Member,
-    private val onElected: () -> Unit,
+    private val onElected: (lostDisks: Set<DiskIdentity>) -> Unit,
     private val onHigherTerm: (Long) -> Unit,
     private val isLeading: () -> Boolean,
 ) {
@@ -54,13 +54,21 @@
         nextCampaignMs = retryAtMs(PRE_VOTE_REPLY_WAIT_MS)
         val grants = preVoteCampaign?.takeIf { it.term == member.term + 1 }?.grants.orEmpty()
         val next = Campaign(member.term + 1, grants)
-        member.emit(RaftOutput.Campaigning(next.term, isPreVote = true, grants.size, member.majority))
+        val quorum = member.quorum(member.lostDisks.known)
+        member.emit(campaigning(next.term, isPreVote = true, grants.size, quorum))
         preVoteCampaign = next
-        val request = PreVoteRequest(member.identity, next.term, member.log.lastIndex, member.log.lastTerm)
-        otherVoters().forEach { member.send(it, request) }
+        val log = member.log
+        val lostDisks = quorum.lostDisks.toList()
+        for (voter in quorum.voters - member.identity) {
+            val request = PreVoteRequest(member.identity, next.term, log.lastIndex, log.lastTerm, voter, lostDisks)
+            member.send(voter.instance, request)
+        }
         countPreVote(member.identity)
     }
 
+    /** Continues the current pre-vote, for which fewer grants may be enough now. */
+    fun onDisksLost() = countPreVote(member.identity)
+
     fun onPreVoteRequest(request: PreVoteRequest) {
         // A member whose disk refuses writes could not make its vote durable.
         if (mustIgnoreCandidates() || member.disk.isRefusing) return
@@ -105,40 +113,44 @@
 
     private fun countPreVote(voter: DiskIdentity) {
         val current = preVoteCampaign ?: return
-        if (isMajorityWith(voter, current)) startVote()
+        current.grants += voter
+        val quorum = member.quorum(member.lostDisks.known)
+        if (quorum.isReachedBy(current.grants)) startVote(quorum)
     }
 
     private fun countVote(voter: DiskIdentity) {
         val current = voteCampaign?.takeIf { it.term == member.term } ?: return
-        if (!isMajorityWith(voter, current)) return
+        current.grants += voter
+        // The lost disks are those known when the votes were asked for, as [Quorum] requires.
+        val lostDisks = current.lostDisks
+        if (!member.quorum(lostDisks).isReachedBy(current.grants)) return
         preVoteCampaign = null
         voteCampaign = null
         campaignCount = 0
-        onElected()
-    }
-
-    private fun isMajorityWith(
-        voter: DiskIdentity,
-        current: Campaign,
-    ): Boolean {
-        if (member.isVoter(voter)) current.grants += voter
-        return current.grants.count(member::isVoter) >= member.majority
+        onElected(lostDisks)
     }
 
     /** Starts the vote in the next term. The requests are sent only after this member's own vote is durable. */
-    private fun startVote() {
+    private fun startVote(quorum: Quorum) {
         val term = member.term + 1
         nextCampaignMs = retryAtMs(VOTE_REPLY_WAIT_MS)
         val votesBefore = voteCampaign?.grants?.size ?: 0
-        member.emit(RaftOutput.Campaigning(term, isPreVote = false, votesBefore, member.majority))
+        member.emit(campaigning(term, isPreVote = false, votesBefore, quorum))
         member.saveHardState(HardState(term, member.identity))
         preVoteCampaign = null
-        voteCampaign = Campaign(term, voteSequence = member.disk.lastIssued)
-        val request = VoteRequest(member.identity, term, member.log.lastIndex, member.log.lastTerm)
-        otherVoters().forEach { member.sendWhenDurable(it, request) }
+        voteCampaign = Campaign(term, voteSequence = member.disk.lastIssued, lostDisks = quorum.lostDisks)
+        for (voter in quorum.voters - member.identity) {
+            val request = VoteRequest(member.identity, term, member.log.lastIndex, member.log.lastTerm, voter)
+            member.sendWhenDurable(voter.instance, request)
+        }
     }
 
-    private fun otherVoters() = member.voters.filter { it.identity != member.identity }.map { it.instance }
+    private fun campaigning(
+        term: Long,
+        isPreVote: Boolean,
+        grantsBefore: Int,
+        quorum: Quorum,
+    ) = RaftOutput.Campaigning(term, isPreVote, grantsBefore, quorum.size, quorum.lostDisks)
 
     private fun retryAtMs(replyWaitMs: Long): Long {
         val spreadMs = member.random.nextLong(member.timings.retryMinMs, member.timings.retryMaxMs + 1)
@@ -181,6 +193,7 @@
         val term: Long,
         grants: Set<DiskIdentity> = emptySet(),
         val voteSequence: Long = 0,
+        val lostDisks: Set<DiskIdentity> = emptySet(),
     ) {
         val grants = grants.toMutableSet()
     }
--- a/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Leadership.kt
@@ -11,8 +11,11 @@
  */
 internal class Leadership(
     private val member: Member,
+    /** The lost disks that this member knew of when it asked for votes. They are part of the quorums of this term. */
+    private val lostDisks: Set<DiskIdentity> = emptySet(),
 ) {
     val term = member.term
+    private val quorum get() = member.quorum(lostDisks)
     private val startedMs = member.nowMs
     private val firstIndex = member.log.lastIndex + 1
     private val progress = LinkedHashMap<DiskIdentity, Progress>()
@@ -156,15 +159,17 @@
         }
     }
 
-    /** The highest index that a majority has on disk, or null if it is not new or not of this term (Raft, 5.4.2). */
+    /** The highest index that a quorum has on disk, or null if it is not new or not of this term (Raft, 5.4.2). */
     fun committableIndex(): Long? {
-        val onDisk = member.voters.map(::durableIndexOf)
-        val index = onDisk.sortedDescending().getOrNull(member.majority - 1) ?: return null
+        val index = quorum.reached(::durableIndexOf) ?: return null
         return index.takeIf { it > member.commitIndex && member.log.termAt(it) == term }
     }
 
     /** The voters that have the log up to [index] on disk. */
-    fun durableVoters(index: Long): List<StoreMember> = member.voters.filter { durableIndexOf(it) >= index }
+    fun durableVoters(index: Long): List<StoreMember> = member.voters.filter { durableIndexOf(it.identity) >= index }
+
+    /** Voters whose disks were known to be lost when this term began. */
+    val lostVoters: List<StoreMember> get() = member.voters.filter { it.identity in lostDisks }
 
     fun recordJoinRequest(joining: StoreMember) {
         val identity = joining.identity
@@ -207,41 +212,31 @@
     fun hasQuorumContact() =
         member.nowMs - maxOf(quorumContactMs() ?: startedMs, startedMs) <= member.timings.electionMaxMs
 
-    /** The time until which no other member can become leader; null if no majority has answered in this term yet. */
+    /** The time until which no other member can become leader; null if no quorum has answered in this term yet. */
     fun leaseUntilMs(): Long? =
         quorumContactMs()?.let { it + member.timings.electionMinMs - member.timings.leaseMarginMs }
 
-    /** The latest send time such that a majority has answered requests sent then or later. */
-    fun quorumContactMs(): Long? {
-        val contacts =
-            member.voters.map {
-                if (it.identity ==
-                    member.identity
-                ) {
-                    member.nowMs
-                } else {
-                    find(it.identity)?.ackedSentMs
-                }
-            }
-        return contacts.filterNotNull().sortedDescending().getOrNull(member.majority - 1)
-    }
+    /** The latest send time such that a quorum has answered requests sent then or later. */
+    fun quorumContactMs(): Long? =
+        quorum.reached { if (it == member.identity) member.nowMs else progress[it]?.ackedSentMs }
 
     /**
      * The time for the next log entry: the lower median of the members' clocks, so that a jump of a single clock does
-     * not move it. Claims expire by this time. It does not advance until the clocks of a majority are known.
+     * not move it. Claims expire by this time. It does not advance until the clocks of a quorum are known.
      */
     private fun logTimeMs(): Long {
         val last = member.log.lastAtMs ?: member.state.atMs
-        val offsets =
-            member.voters.mapNotNull {
-                if (it.identity == member.identity) member.wallOffsetMs else find(it.identity)?.wallOffsetMs
-            }
-        if (offsets.size < member.majority) return last
-        return maxOf(last, offsets.sorted()[(offsets.size - 1) / 2] + member.nowMs)
+        val offsets = member.voters.mapNotNull { wallOffsetMs(it.identity) }.sorted()
+        val isQuorumKnown = quorum.isReachedBy(quorum.voters.filterTo(HashSet()) { wallOffsetMs(it) != null })
+        if (!isQuorumKnown) return last
+        return maxOf(last, offsets[(offsets.size - 1) / 2] + member.nowMs)
     }
 
-    private fun durableIndexOf(voter: StoreMember): Long =
-        if (voter.identity == member.identity) member.disk.durableIndex else find(voter.identity)?.matchIndex ?: 0
+    private fun wallOffsetMs(voter: DiskIdentity): Long? =
+        if (voter == member.identity) member.wallOffsetMs else progress[voter]?.wallOffsetMs
+
+    private fun durableIndexOf(voter: DiskIdentity): Long =
+        if (voter == member.identity) member.disk.durableIndex else progress[voter]?.matchIndex ?: 0
 
     private fun find(identity: DiskIdentity): Progress? {
         progress[identity]?.let { return it }
@@ -252,9 +247,10 @@
 
     private fun replicationTargets(): List<Progress> = progress.values + listOfNotNull(learner)
 
-    private fun updateProgress() {
-        val otherVoters = member.voters.map { it.identity }.filter { it != member.identity }
-        progress.keys.retainAll(otherVoters.toSet())
+    /** Follows the voters of both memberships until the latest change is committed. */
+    fun updateProgress() {
+        val otherVoters = quorum.voters - member.identity
+        progress.keys.retainAll(otherVoters)
         otherVoters.filter { it !in progress }.forEach { identity ->
             val known = learner?.takeIf { it.identity == identity }
             if (known != null) learner = null
--- a/state/src/main/kotlin/samphirechute/state/raft/Member.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Member.kt
@@ -59,12 +59,22 @@
     val isEmpty get() = log.lastIndex == 0L
     val voters get() = log.members
     val isVoter get() = voters.any { it.identity == identity }
-    val majority get() = voters.size / 2 + 1
+    val lostDisks = LostDisks(this)
+
+    /** True once the latest change of the membership is known to be committed. */
+    val areMembersCommitted get() = log.membersIndex <= commitIndex || log.areMembersSettled
+
+    /** True if the latest change of the membership is committed, but its log does not show it yet. */
+    val mustSettleMembers get() = log.membersIndex <= commitIndex && !log.areMembersSettled
 
     fun isVoter(identity: DiskIdentity) = voters.any { it.identity == identity }
 
     fun findVoter(identity: DiskIdentity?): StoreMember? = voters.find { it.identity == identity }
 
+    /** What a candidate or leader needs that knows of [lostDisks]. */
+    fun quorum(lostDisks: Set<DiskIdentity> = emptySet()) =
+        Quorum(if (areMembersCommitted) listOf(voters) else listOf(log.previousMembers, voters), lostDisks)
+
     fun emit(output: RaftOutput) {
         outputs += output
     }
--- a/state/src/main/kotlin/samphirechute/state/raft/MembershipPolicy.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/MembershipPolicy.kt
@@ -16,6 +16,11 @@
         override val member: StoreMember,
     ) : DueChange()
 
+    /** The disk of the member is lost. */
+    data class RemoveLost(
+        override val member: StoreMember,
+    ) : DueChange()
+
     /** The member has not answered for [silentMs]. */
     data class RemoveSilent(
         override val member: StoreMember,
@@ -26,9 +31,10 @@
 /**
  * Decides on the leader which change of the membership comes next.
  *
- * An even number of voters bears no more losses than the odd number below it, but needs one more to answer. A voter that
- * stops or is silent is therefore removed at once from an even number, as there is after a replacement has joined: the
- * next disk may be lost right after. With an odd number, removing a silent voter only helps when a second one is silent.
+ * An even number of voters bears no more silent ones than the odd number below it, but needs one more to answer. A voter
+ * that stops or is silent is therefore removed at once from an even number, as there is after a replacement has joined: the
+ * next disk may be lost right after. A voter whose disk is known to be lost goes first, since the leader may have been
+ * elected without it by half of the voters. With an odd number, removing a silent voter only helps when a second one is silent.
  * No voter is removed below the minimum, because otherwise the tolerated number of lost disks could be a majority.
  * Removals go first, since a join may take seconds.
  */
@@ -45,6 +51,8 @@
     private fun dueRemoval(minMembers: Int): DueChange? {
         if (changes.isReplacing || member.voters.size <= minMembers) return null
         val isEven = member.voters.size % 2 == 0
+        val lost = leadership.lostVoters.firstOrNull()
+        if (isEven && lost != null) return DueChange.RemoveLost(lost)
         val leaving = leadership.leavingVoters.firstOrNull()
         if (isEven && leaving != null) return DueChange.Leave(leaving)
         val silent = leadership.unresponsiveVoters(member.timings.voterSilenceMs)
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftLog.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftLog.kt
@@ -37,6 +37,17 @@
     /** The index of the latest membership change, or the base index if there is none in memory. */
     val membersIndex get() = membershipChanges.lastOrNull()?.index ?: baseIndex
 
+    /** The membership before the latest change in memory. */
+    val previousMembers get() = membershipChanges.getOrNull(membershipChanges.size - 2)?.members ?: baseMembers
+
+    /**
+     * True if this log shows that the latest membership change was committed, also after a restart, when the commit index
+     * is not known yet. A leader appends [Command.Noop] again once the change is committed. The members that founded the
+     * store (term 0) have no membership before theirs.
+     */
+    val areMembersSettled: Boolean
+        get() = membershipChanges.lastOrNull().let { it == null || it.term == 0L || it.settledIndex != null }
+
     fun append(entry: LogEntry) {
         check(entry.index == lastIndex + 1) { "entry ${entry.index} does not follow entry $lastIndex" }
         val next =
@@ -45,8 +56,10 @@
                 is Command.RemoveMember -> members.without(command.instance)
                 else -> null
             }
+        val isSettling = entry.timed.command == Command.Noop && entry.term == lastTerm
         entries += entry
-        if (next != null) membershipChanges += MemberChange(entry.index, next)
+        if (next != null) membershipChanges += MemberChange(entry.index, entry.term, next)
+        if (isSettling) membershipChanges.lastOrNull()?.run { settledIndex = settledIndex ?: entry.index }
     }
 
     /** The entry at [index], or null if it is not in memory. */
@@ -59,6 +72,7 @@
         check(index > baseIndex) { "entry $index is covered by a snapshot" }
         while (lastIndex >= index) entries.removeLast()
         membershipChanges.removeAll { it.index >= index }
+        membershipChanges.lastOrNull()?.run { settledIndex = settledIndex?.takeIf { it < index } }
     }
 
     /** Drops the entries up to [index], which becomes the base. */
@@ -105,7 +119,10 @@
 
     private class MemberChange(
         val index: Long,
+        val term: Long,
         val members: PersistentList<StoreMember>,
+        /** The first entry that shows that the change was committed. */
+        var settledIndex: Long? = null,
     )
 }
 
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftMessage.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftMessage.kt
@@ -21,6 +21,9 @@
      */
     abstract val term: Long
 
+    /** The voter that is asked. Its machine answers [DiskLost] if it has another disk by now. */
+    open val to: DiskIdentity? get() = null
+
     /**
      * Asks whether a vote would be granted. It raises no term, so a returning isolated member does not disrupt the
      * leader.
@@ -32,6 +35,9 @@
         override val term: Long,
         val lastIndex: Long,
         val lastTerm: Long,
+        override val to: DiskIdentity? = null,
+        /** The lost disks that the sender knows of. */
+        val lostDisks: List<DiskIdentity> = emptyList(),
     ) : RaftMessage()
 
     @Serializable
@@ -49,6 +55,7 @@
         override val term: Long,
         val lastIndex: Long,
         val lastTerm: Long,
+        override val to: DiskIdentity? = null,
     ) : RaftMessage()
 
     @Serializable
@@ -59,6 +66,15 @@
         val isGranted: Boolean,
     ) : RaftMessage()
 
+    /** Answers a request to a voter whose disk [lost] the sender has replaced. */
+    @Serializable
+    @SerialName("disk_lost")
+    data class DiskLost(
+        override val from: DiskIdentity,
+        override val term: Long,
+        val lost: DiskIdentity,
+    ) : RaftMessage()
+
     /** Entries after [prevIndex], or a heartbeat when there are none. */
     @Serializable
     @SerialName("append_request")
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -60,6 +60,9 @@
     /** On the leader: disk identities by instance that are not in the membership, for the operator to add. */
     val unknownDisks: Map<InstanceId, String> get() = leadership?.unknownDisks.orEmpty()
 
+    /** On the leader: voters whose disks were known to be lost when its term began, see [Quorum]. */
+    val lostVoters: List<StoreMember> get() = leadership?.lostVoters.orEmpty()
+
     /** On the leader: members to add with [Command.AddMember], which have asked to join or replaced a wiped disk. */
     val joinRequests: List<StoreMember> get() = leadership?.joinRequests.orEmpty()
 
@@ -148,9 +151,10 @@
             handleHello(message)
             return bootstrap.onHello(message)
         }
-        if (!bootstrap.isFromCurrentDisk(message.from)) return
+        if (!bootstrap.isFromCurrentDisk(message.from) || isForLostDisk(message)) return
         when (message) {
-            is RaftMessage.PreVoteRequest -> election.onPreVoteRequest(message)
+            is RaftMessage.PreVoteRequest -> handlePreVoteRequest(message)
+            is RaftMessage.DiskLost -> handleDiskLost(message)
             is RaftMessage.PreVoteReply -> election.onPreVoteReply(message)
             is RaftMessage.VoteRequest -> election.onVoteRequest(message)
             is RaftMessage.VoteReply -> election.onVoteReply(message)
@@ -176,6 +180,25 @@
         }
     }
 
+    /** Answers a request to a disk that this member had before its current one. */
+    private fun isForLostDisk(message: RaftMessage): Boolean {
+        val asked = message.to ?: return false
+        if (asked.instance != member.self.instance || asked == member.identity) return false
+        member.send(message.from.instance, RaftMessage.DiskLost(member.identity, member.term, asked))
+        return true
+    }
+
+    private fun handleDiskLost(message: RaftMessage.DiskLost) {
+        val lost = message.lost
+        if (lost.instance != message.from.instance || lost == message.from) return
+        if (member.lostDisks.record(listOf(lost))) election.onDisksLost()
+    }
+
+    private fun handlePreVoteRequest(request: RaftMessage.PreVoteRequest) {
+        if (member.lostDisks.record(request.lostDisks)) election.onDisksLost()
+        election.onPreVoteRequest(request)
+    }
+
     private fun handleLeaveRequest(from: DiskIdentity) {
         val current = leadership ?: return
         current.recordLeaveRequest(from)
@@ -230,7 +253,7 @@
     }
 
     /**
-     * Commits what a majority has on disk, and then continues everything that waits for it. Answers come first. New
+     * Commits what a quorum has on disk, and then continues everything that waits for it. Answers come first. New
      * entries follow: those of proposals deferred since the election, once this leader is ready, and the next step of a
      * membership change. Entries are sent last, so that one write and one message contain all of them. A leader that
      * was removed from the membership steps down only after it has sent the commit index.
@@ -240,6 +263,7 @@
         val before = member.commitIndex
         current.committableIndex()?.let { index ->
             val applied = member.commitTo(index)
+            current.updateProgress()
             proposals.answer(applied)
             if (!wasReady && current.isReady) {
                 member.emit(RaftOutput.LeadershipGained(current.term))
@@ -247,6 +271,8 @@
             }
         }
         val isCommitted = member.commitIndex > before
+        // Shows in the log that the change is committed, which a member that has restarted cannot know otherwise.
+        if (current.isReady && member.mustSettleMembers) current.append(Command.Noop)
         memberChanges?.advance()
         if (current.isReady) reads.confirm(current.quorumContactMs())
         member.snapshotIfDue()
@@ -269,9 +295,9 @@
         advanceCommit(current)
     }
 
-    private fun becomeLeader() {
+    private fun becomeLeader(lostDisks: Set<DiskIdentity>) {
         member.leader = member.identity
-        val current = Leadership(member)
+        val current = Leadership(member, lostDisks)
         leadership = current
         val changes = MemberChanges(member, current, proposals)
         memberChanges = changes
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftOutput.kt
@@ -55,6 +55,13 @@
         /** Votes of the same kind that this member already had. */
         val grantsBefore: Int,
         val needed: Int,
+        /** The disks of voters that this member knows to be lost. */
+        val lostDisks: Set<DiskIdentity> = emptySet(),
+    ) : RaftOutput()
+
+    /** This member has learnt that [disk], which is that of a voter, is lost. */
+    data class DiskLost(
+        val disk: DiskIdentity,
     ) : RaftOutput()
 
     /** The addition of [member] ended without a result after [afterMs], for the reason in [code]. */
--- a/state/src/test/kotlin/samphirechute/state/host/MembershipManagerSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/host/MembershipManagerSpec.kt
@@ -58,6 +58,23 @@
             return cluster.runUntil(ELECTION_LIMIT_MS) { isCommitted }
         }
 
+        /** Commits a configuration as an operator does, who sends it again while there is no clear answer. */
+        fun canCommitWithResends(): Boolean {
+            var isCommitted = false
+            var isWaiting = false
+            return cluster.runUntil(ELECTION_LIMIT_MS) {
+                val leading = cluster.leader
+                if (!isWaiting && leading != null) {
+                    isWaiting = true
+                    cluster.propose(leading, Command.AdoptConfig(1, "{}")) {
+                        isCommitted = isCommitted || it is ProposalOutcome.Committed
+                        isWaiting = false
+                    }
+                }
+                isCommitted
+            }
+        }
+
         private fun runManager() {
             val leading = cluster.leader
             val raft = leading?.raft
@@ -87,10 +104,12 @@
             assertTrue(store.canCommit(), store.cluster.describe())
         }
 
-        /** Starts a successor, removes [removed] once it has caught up, and loses the disk of [lost] a second later. */
+        /** Starts a successor, removes [removed] once it has caught up, and loses the disk of [lost] [pauseMs] later. */
         private fun replaceAndLoseDisk(
             removed: String,
             lost: String,
+            pauseMs: Long,
+            accepts: ManagedStore.() -> Boolean,
         ) {
             val store = ManagedStore(listOf("a", "b", "c"))
             store.commitConfigs(2)
@@ -100,11 +119,11 @@
                 .getValue(InstanceId(removed))
                 .kill()
             store.cluster.nodes -= InstanceId(removed)
-            store.cluster.run(DOWN_MS)
+            store.cluster.run(pauseMs)
             store.cluster.nodes
                 .getValue(InstanceId(lost))
                 .wipe()
-            assertTrue(store.canCommit(), "$removed removed, $lost lost its disk: ${store.cluster.describe()}")
+            assertTrue(store.accepts(), "$removed removed, $lost lost after $pauseMs ms: ${store.cluster.describe()}")
             assertEquals(
                 2,
                 store.cluster.leader
@@ -119,7 +138,21 @@
         @Test
         fun `a member that was removed after its replacement joined no longer counts when a disk is lost soon`() {
             for (removed in listOf("a", "b", "c")) {
-                for (lost in listOf("a", "b", "c", "d") - removed) replaceAndLoseDisk(removed, lost)
+                for (lost in listOf("a", "b", "c", "d") - removed) {
+                    replaceAndLoseDisk(removed, lost, DOWN_MS) { canCommit() }
+                }
+            }
+        }
+
+        /** Guards against a store that stops for good when the next disk is lost before a removed member is noticed. */
+        @Test
+        fun `a removed member is no obstacle when a disk is lost at the same moment or soon after`() {
+            for (removed in listOf("a", "b", "c")) {
+                for (lost in listOf("a", "b", "c", "d") - removed) {
+                    for (pauseMs in listOf(0L, 300L, 600L)) {
+                        replaceAndLoseDisk(removed, lost, pauseMs) { canCommitWithResends() }
+                    }
+                }
             }
         }
 
--- a/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/SimCluster.kt
@@ -255,6 +255,7 @@
                 is RaftOutput.SnapshotInstalled -> history.recordInstalled(instance, incarnation, output.state)
                 is RaftOutput.LeadershipLost -> Unit
                 is RaftOutput.Campaigning -> Unit
+                is RaftOutput.DiskLost -> Unit
                 is RaftOutput.AdditionEnded -> Unit
                 is RaftOutput.ReadChecked -> readCallbacks.remove(output.token)?.invoke(output.isConfirmed)
             }
