Remove silent and leaving voters wherever there are more than the minimum

Cause: a silent voter of an odd number above the minimum was kept, and a member of such a number did not give up its vote when it stopped. Each replacement so left a voter that was gone.

Change: MembershipPolicy removes a lost, leaving or silent voter whenever there are more than the minimum, and shouldLeave no longer asks for an even number. The even number that is left bears as many losses, since half of it is enough once a disk is known to be lost.

MembershipSchedule can lose the next disks at the moment of a removal, in part with the power of all other machines, and checks the history of the run. Members that start again may no longer found a store, as the settings of the platform have it after the first start. The wait after a removal without a signal is kept before a machine that ends for good, since two silent voters of four cannot be told from half of a split.

--- a/state/src/main/kotlin/samphirechute/state/host/MembershipManager.kt
+++ b/state/src/main/kotlin/samphirechute/state/host/MembershipManager.kt
@@ -18,7 +18,7 @@
     private var lastCheckMs = Long.MIN_VALUE / 2
 
     /** Returns whether the member of [node] should give up its vote before it stops, so that the others need fewer. */
-    fun shouldLeave(node: RaftNode) = node.isVoter && node.members.size > minMembers && node.members.size % 2 == 0
+    fun shouldLeave(node: RaftNode) = node.isVoter && node.members.size > minMembers
 
     fun tick(
         node: RaftNode,
--- a/state/src/main/kotlin/samphirechute/state/raft/MembershipPolicy.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/MembershipPolicy.kt
@@ -31,12 +31,12 @@
 /**
  * Decides on the leader which change of the membership comes next.
  *
- * An even number of voters bears no more silent ones than the odd number below it, but needs one more to answer. A voter
- * that stops or is silent is therefore removed at once from an even number, as there is after a replacement has joined: the
- * next disk may be lost right after. A voter whose disk is known to be lost goes first, since the leader may have been
- * elected without it by half of the voters. With an odd number, removing a silent voter only helps when a second one is silent.
+ * A voter that stops or is silent counts towards the size of a quorum, but not towards the quorum itself. Where there are
+ * more voters than the minimum, as after a replacement has joined, it is therefore removed at once: the next machine may be
+ * removed, and the next disk lost, right after. An even number that is left bears as many losses as the odd number above
+ * it, see [Quorum]. A voter whose disk is known to be lost goes first, since the leader may have been elected without it.
  * No voter is removed below the minimum, because otherwise the tolerated number of lost disks could be a majority.
- * Removals go first, since a join may take seconds.
+ * Removals go before joins, which may take seconds.
  */
 internal class MembershipPolicy(
     private val member: Member,
@@ -50,14 +50,10 @@
 
     private fun dueRemoval(minMembers: Int): DueChange? {
         if (changes.isReplacing || member.voters.size <= minMembers) return null
-        val isEven = member.voters.size % 2 == 0
-        val lost = leadership.lostVoters.firstOrNull()
-        if (isEven && lost != null) return DueChange.RemoveLost(lost)
-        val leaving = leadership.leavingVoters.firstOrNull()
-        if (isEven && leaving != null) return DueChange.Leave(leaving)
-        val silent = leadership.unresponsiveVoters(member.timings.voterSilenceMs)
-        if (silent.isEmpty() || (!isEven && silent.size == 1)) return null
-        return DueChange.RemoveSilent(silent.first(), member.timings.voterSilenceMs)
+        leadership.lostVoters.firstOrNull()?.let { return DueChange.RemoveLost(it) }
+        leadership.leavingVoters.firstOrNull()?.let { return DueChange.Leave(it) }
+        val silent = leadership.unresponsiveVoters(member.timings.voterSilenceMs).firstOrNull() ?: return null
+        return DueChange.RemoveSilent(silent, member.timings.voterSilenceMs)
     }
 
     /** The first request to join, or while a member is being added, only one of the same instance with another disk. */
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftTimings.kt
@@ -39,8 +39,8 @@
     /** A request to join counts for this long, which is several intervals of its repetition. */
     val joinRequestMs: Long = 1_000,
     /**
-     * A voter that has not answered for this long is removed from an even number of voters, which bears no more losses
-     * than the odd number below it. A member that is running is added again when it answers.
+     * A voter that has not answered for this long is removed if there are more voters than the minimum. A member that is
+     * running is added again when it answers.
      */
     val voterSilenceMs: Long = 700,
     /** A request to leave counts for this long. */
--- a/state/src/test/kotlin/samphirechute/state/host/MembershipManagerSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/host/MembershipManagerSpec.kt
@@ -35,6 +35,21 @@
                 .map { it.instance.value }
                 .toSet()
 
+        /** Ends a member for good, after it has given up its vote if the end is announced. */
+        fun remove(
+            name: String,
+            isAnnounced: Boolean,
+        ) {
+            val removed = cluster.nodes.getValue(InstanceId(name))
+            val raft = checkNotNull(removed.raft)
+            if (isAnnounced && MembershipManager(minMembers) {}.shouldLeave(raft)) {
+                raft.leave()
+                cluster.runUntil(ELECTION_LIMIT_MS) { raft.hasLeft }
+            }
+            removed.kill()
+            cluster.nodes -= removed.instance
+        }
+
         fun followers() = cluster.nodes.values.filter { it != cluster.leader && it.raft != null }
 
         /** Commits [count] configurations, one after another. */
@@ -156,6 +171,25 @@
             }
         }
 
+        /** Guards against members that are gone and count as voters, one beside each replacement. */
+        @Test
+        fun `members that are replaced one right after the other do not add up`() {
+            for (isAnnounced in listOf(true, false)) {
+                val store = ManagedStore(listOf("a", "b", "c"))
+                store.cluster.addNode(InstanceId("d"))
+                store.cluster.run(SMALL_CATCH_UP_MS)
+                store.remove("a", isAnnounced = false)
+                store.cluster.addNode(InstanceId("e"))
+                store.cluster.run(SMALL_CATCH_UP_MS)
+                assertEquals(setOf("b", "c", "d", "e"), store.voters, store.cluster.describe())
+                store.remove("b", isAnnounced)
+                store.cluster.nodes
+                    .getValue(InstanceId("c"))
+                    .wipe()
+                assertTrue(store.canCommitWithResends(), "announced: $isAnnounced: ${store.cluster.describe()}")
+            }
+        }
+
         /** Guards against a stopped member that counts as a voter until its silence is noticed. */
         @Test
         fun `a member that stops after its replacement joined gives up its vote, also the leader`() {
--- a/state/src/test/kotlin/samphirechute/state/sim/MembershipSchedule.kt
+++ b/state/src/test/kotlin/samphirechute/state/sim/MembershipSchedule.kt
@@ -11,10 +11,15 @@
  * deployment allows it: a machine counts as lost until it has been back for the time to catch up, and at most [tolerated]
  * are lost at the same time. A machine that is replaced as planned does not count from the time to catch up after its
  * successor's start. Every run with the same seed is identical.
+ *
+ * With [losesDisksAtOnce], the next disks are lost at the moment of a removal, and all other machines may lose power with
+ * them. Two machines that end for good follow each other by [DETECTION_MS] also then: two silent voters of four cannot be
+ * told from the other half of a split.
  */
 internal class MembershipSchedule(
     private val seed: Long,
     private val tolerated: Int,
+    private val losesDisksAtOnce: Boolean = false,
 ) {
     private val timings =
         RaftTimings(hasLeaseReads = false, catchUpEntries = 2, maxBatchEntries = 4, maxInFlightEntries = 4)
@@ -29,6 +34,9 @@
     private var proposed = 0L
     private var nextName = minMembers
 
+    /** When a machine that another one had replaced was last removed without a signal. */
+    private var removedMs = Long.MIN_VALUE / 2
+
     /** Returns the violations found, with the events that led there, or the exception that ended the run. */
     fun run(): List<String> {
         try {
@@ -70,11 +78,14 @@
     /** A machine may lose its disk again while it is still counted as lost. */
     private fun loseDisks() {
         val lost = someMachines()
+        val isPowerLost = losesDisksAtOnce && random.nextInt(3) == 0
         repeat(1 + random.nextInt(MAX_REPEATS)) {
-            event("disks lost: ${lost.map { it.instance }}")
+            event("disks lost: ${lost.map { it.instance }}, power lost: $isPowerLost")
             lost.forEach { it.loseDisk() }
+            val off = if (isPowerLost) cluster.nodes.values - lost.toSet() else emptyList()
+            off.forEach { it.kill() }
             cluster.run(random.nextLong(MIN_DOWN_MS, MAX_DOWN_MS))
-            lost.forEach { start(it) }
+            (lost + off).forEach { start(it) }
             cluster.run(random.nextLong(MAX_JOINING_MS))
         }
         cluster.run(catchUpMs)
@@ -141,12 +152,20 @@
             cluster.nodes.values
                 .toList()
                 .random(random)
-        addMachine()
+        val hasSuccessor = addMachine()
+        if (!hasSuccessor) awaitDetection()
         if (isAnnounced) stop(old)
         event("removed ${old.instance}, announced: $isAnnounced")
         old.kill()
         cluster.nodes -= old.instance
-        if (!isAnnounced) cluster.run(DETECTION_MS)
+        if (isAnnounced) return
+        removedMs = cluster.timer.nowMs()
+        if (!losesDisksAtOnce || !hasSuccessor) awaitDetection()
+    }
+
+    private fun awaitDetection() {
+        val remainingMs = removedMs + DETECTION_MS - cluster.timer.nowMs()
+        if (remainingMs > 0) cluster.run(remainingMs)
     }
 
     /** Stops a member as a control instance does on a signal. */
@@ -158,6 +177,7 @@
     }
 
     private fun replaceLost() {
+        awaitDetection()
         val lost =
             cluster.nodes.values
                 .toList()
@@ -169,18 +189,24 @@
         addMachine()
     }
 
-    private fun addMachine() {
-        if (cluster.nodes.size > minMembers + 2) return
+    /** Returns false if there are machines enough. */
+    private fun addMachine(): Boolean {
+        if (cluster.nodes.size > minMembers + 2) return false
         val instance = InstanceId("m${nextName++}")
         event("added $instance")
         val seeds = currentSeeds()
-        cluster.addNode(instance, seeds)
+        cluster.addNode(instance, seeds, canBootstrap = false)
         cluster.run(catchUpMs)
+        return true
     }
 
-    /** A machine starts with the settings in effect at that moment, which name some of the machines that there are. */
+    /**
+     * A machine starts with the settings in effect at that moment, which name some of the machines that there are. After
+     * the first start of the whole system they allow no member to found a store.
+     */
     private fun start(node: SimCluster.SimNode) {
         node.seeds = currentSeeds()
+        node.canBootstrap = false
         node.start()
     }
 
@@ -242,6 +268,7 @@
             isRead
         }
         if (!isRead) violations += "the configuration cannot be read: ${cluster.describe()}"
+        violations += cluster.history.violations(emptyList())
     }
 
     private companion object {
