Promise "not run" only to callers of requests that have not run

Cause: what a caller takes for the promise is the status, whoever wrote it. The relay knew that the order may have run (finished ... status=503 reason=answered ran=true), but only errors of the system itself were checked against that; the answer of an upstream was passed on as it was.

Change: every final answer to an accepted request leaves by FinalResponse.send, which asks FinalAnswer.truthful. No error of the system promises "not run" for a request that may have run, and no answer of an upstream (408, 421, 429, 503) does for a request that may not run twice: its caller gets 502 without the signature and without a time to come back. A repeatable request gets the answer of the upstream unchanged, as before. The log line answer_withheld names the upstream and both statuses. A request in an attempt at its deadline or at the stop of the process is logged with ran=true.

--- a/serving/src/main/kotlin/samphirechute/serving/relay/FinalResponse.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/FinalResponse.kt
@@ -5,8 +5,8 @@
 import samphirechute.net.ResponseStream
 
 /**
- * The final response to the caller of one request, which is sent once. It states truthfully whether the request may have
- * run. [Relay] decides which one it is.
+ * The final response to the caller of one request, which is sent once. [Relay] decides which one it is. Each leaves by
+ * [send], which replaces one that promises that the request has not run although it may have.
  */
 internal class FinalResponse(
     private val request: RelayedRequest,
@@ -31,7 +31,35 @@
         private set
 
     /** Passes on the complete answer of an upstream. */
-    fun respond(result: AttemptResult.Answered) {
+    fun respond(result: AttemptResult.Answered) = send(FinalAnswer.OfUpstream(result))
+
+    private fun send(answer: FinalAnswer) =
+        when (val truthful = answer.truthful(rules.mayHaveRun, request.isRepeatable)) {
+            is FinalAnswer.OfUpstream -> {
+                passOn(truthful.result)
+            }
+
+            is FinalAnswer.Own -> {
+                if (answer is FinalAnswer.OfUpstream) logWithheld(answer, truthful)
+                answerWith(truthful.refusal)
+            }
+        }
+
+    private fun logWithheld(
+        answer: FinalAnswer.OfUpstream,
+        sent: FinalAnswer.Own,
+    ) = request.log(
+        "answer_withheld",
+        mapOf(
+            "route" to request.route.name,
+            "upstream" to upstream(),
+            "answered" to answer.status,
+            "status" to sent.status,
+            "reason" to "promises_not_run",
+        ),
+    )
+
+    private fun passOn(result: AttemptResult.Answered) {
         val fields = result.head.fields.filter(HopHeaders::isEndToEnd)
         val body = request.exchange.startRelay(result.head.status, fields, result.body.size.toLong())
         body.write(result.body)
@@ -48,7 +76,7 @@
         finish(OK, "answered")
     }
 
-    /** Sends the final answer when no further attempt is made. It tells the caller whether the request may have run. */
+    /** Sends the final answer when no further attempt is made. */
     fun giveUp(
         reason: String,
         retryAfterMs: Long = RETRY_AFTER_MS,
@@ -58,8 +86,7 @@
         when {
             open != null -> abort(open, reason)
             answer != null -> respond(answer)
-            rules.mayHaveRun -> answerWith(Refusal.Lost(reason))
-            else -> answerWith(Refusal.Busy(reason, retryAfterMs))
+            else -> send(FinalAnswer.Own(Refusal.Busy(reason, retryAfterMs)))
         }
     }
 
@@ -69,7 +96,7 @@
         refusal: Refusal,
     ) {
         val open = stream.open
-        if (open != null) abort(open, reason) else answerWith(refusal)
+        if (open != null) abort(open, reason) else send(FinalAnswer.Own(refusal))
     }
 
     /** Records that the caller has left, which gets no answer. */
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
@@ -32,9 +32,22 @@
     /** The deadline has passed, and an upstream may be running the request. */
     data object TimedOut : Refusal(504, "timed_out")
 
+    /** The deadline has passed, and no upstream has run the request. */
+    data object TimedOutUnsent : Refusal(503, "timed_out", retryAfterMs = UNSENT_RETRY_MS)
+
+    /** The refusal to send in place of this one if an upstream may have run the request; it promises nothing. */
+    fun withoutPromise(): Refusal =
+        when (this) {
+            is Busy, NotReady -> Lost(code)
+            Stopping -> Lost("stopped")
+            TimedOutUnsent -> TimedOut
+            is Lost, TimedOut, NoRoute, UnknownKey, MissingId -> this
+        }
+
     private companion object {
         /** By then, this or another instance is likely to have the configuration. */
         const val NOT_READY_RETRY_MS = 1_000L
         const val STOPPING_RETRY_MS = 100L
+        const val UNSENT_RETRY_MS = 500L
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Relay.kt
@@ -191,21 +191,19 @@
                 "came_late" to isLate(request.arrivedMs),
             ),
         )
-        endEarly("stopped", Refusal.Lost("stopped"), Refusal.Stopping)
+        endEarly("stopped", Refusal.Stopping)
     }
 
-    private fun onTimeout() =
-        endEarly("timed_out", Refusal.TimedOut, Refusal.Busy("timed_out", FinalResponse.RETRY_AFTER_MS))
+    private fun onTimeout() = endEarly("timed_out", Refusal.TimedOutUnsent)
 
     private fun endEarly(
         reason: String,
-        ifSent: Refusal,
-        ifNotRun: Refusal,
+        refusal: Refusal,
     ) {
         if (final.isDone) return
-        val wasSent = dispatcher.attempt != null || rules.mayHaveRun
+        if (dispatcher.attempt != null) rules.recordRun()
         dispatcher.cancel()
-        final.endEarly(reason, if (wasSent) ifSent else ifNotRun)
+        final.endEarly(reason, refusal)
     }
 
     private fun onCallerLeft() {
