Answer 503 at the product's own interface only for requests that have not run

Now 503 comes with not_run only, and 502 otherwise.

OutcomeErrorsSpec checks all codes with all run states. It fails without the change ("deadline_unreachable, RAN: 503").

--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/OutcomeErrors.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/OutcomeErrors.kt
@@ -16,7 +16,7 @@
         FlowCode.REQUEST_ID_REUSED -> UNPROCESSABLE
         FlowCode.OUTCOME_UNKNOWN -> BAD_GATEWAY
         FlowCode.DEADLINE_EXCEEDED -> GATEWAY_TIMEOUT
-        FlowCode.DEADLINE_UNREACHABLE, FlowCode.NO_CAPACITY, FlowCode.STORE_UNAVAILABLE -> UNAVAILABLE
+        // Callers take 503 for a promise, whatever ended the request: an earlier attempt may have run it.
         else -> if (runState == RunState.NOT_RUN) UNAVAILABLE else BAD_GATEWAY
     }
 
