Find the route of a request by its path as it was sent

Cause: RequestHandler looked the route up by the percent-decoded path, while the upstream gets the path as it was sent. The kind, key, service and retries of a request could be those of a route whose prefix does not begin its path.

Change: ServerRequest.sentPath, by which RouteTable finds the route.

--- a/daemon/src/main/kotlin/samphirechute/daemon/caller/OutcomeErrors.kt
+++ b/daemon/src/main/kotlin/samphirechute/daemon/caller/OutcomeErrors.kt
@@ -12,10 +12,15 @@
 private fun FlowOutcome.status() =
     when (code) {
         FlowCode.ANSWER_NOT_KEPT -> OK
+
         FlowCode.IN_PROGRESS -> CONFLICT
+
         FlowCode.REQUEST_ID_REUSED -> UNPROCESSABLE
+
         FlowCode.OUTCOME_UNKNOWN -> BAD_GATEWAY
+
         FlowCode.DEADLINE_EXCEEDED -> GATEWAY_TIMEOUT
+
         // Callers take 503 for a promise, whatever ended the request: an earlier attempt may have run it.
         else -> if (runState == RunState.NOT_RUN) UNAVAILABLE else BAD_GATEWAY
     }
--- a/net/src/main/kotlin/samphirechute/net/ServerRequest.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerRequest.kt
@@ -3,7 +3,10 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.QueryStringDecoder
 
-/** A complete request that [HttpServer] received. [path] excludes the query; header names are case-insensitive. */
+/**
+ * A complete request that [HttpServer] received. [path] is decoded and excludes the query, [sentPath] is the same as the
+ * client sent it; header names are case-insensitive.
+ */
 class ServerRequest(
     val method: String,
     uri: String,
@@ -15,6 +18,7 @@
 
     private val decoder = QueryStringDecoder(uri)
     val uri: String = uri
+    val sentPath: String = decoder.rawPath()
     val path: String = decoder.path()
 
     /** Frees the memory of the body; call it once the body is no longer needed. */
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
@@ -80,7 +80,7 @@
         val caller = context.protocol.read(request)
         if (hasEnded) return refuse(exchange, caller, Refusal.Stopping)
         val current = table ?: return hold(exchange, caller, arrivedMs)
-        val route = current.find(caller.host, request.path) ?: return refuse(exchange, caller, Refusal.NoRoute)
+        val route = current.find(caller.host, request.sentPath) ?: return refuse(exchange, caller, Refusal.NoRoute)
         if (caller.id == null) return refuse(exchange, caller, Refusal.MissingId)
         val team = caller.key?.let { current.config.teamsByKey[it] }
         if (team == null && requiresKey(current.config, route.isPublic)) {
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RouteTable.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RouteTable.kt
@@ -14,11 +14,14 @@
             routes.sortedByDescending { it.pathPrefix.length }
         }
 
-    /** Returns the route for [path], or null. The port of [host] is ignored. */
+    /**
+     * Returns the route for [sentPath], or null. The port of [host] is ignored. The path is that which the upstream gets:
+     * %2F is no separator, so a decoded path could match the prefix of a route to which the request does not belong.
+     */
     fun find(
         host: String,
-        path: String,
-    ): Route? = byHost[host.substringBefore(':').lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+        sentPath: String,
+    ): Route? = byHost[host.substringBefore(':').lowercase()]?.firstOrNull { sentPath.startsWith(it.pathPrefix) }
 }
 
 /** Picks one of the services of the route at random, by their weights. */
