Handle requests whose path cannot be decoded

Cause: ServerRequest decoded the path in its constructor, outside the try of ServerConnection.dispatch.

Change: a path that cannot be decoded is taken as it was sent, a query that cannot be decoded has no parameters.

Evidence: the new test of HttpServerSpec fails on the code before ("/desk/100%: expected 200 but was null") and passes; no byte stays reserved.

--- a/net/src/main/kotlin/samphirechute/net/ServerRequest.kt
+++ b/net/src/main/kotlin/samphirechute/net/ServerRequest.kt
@@ -5,7 +5,7 @@
 
 /**
  * A complete request that [HttpServer] received. [path] is decoded and excludes the query, [sentPath] is the same as the
- * client sent it; header names are case-insensitive.
+ * client sent it; a path that cannot be decoded is the same in both. Header names are case-insensitive.
  */
 class ServerRequest(
     val method: String,
@@ -19,7 +19,7 @@
     private val decoder = QueryStringDecoder(uri)
     val uri: String = uri
     val sentPath: String = decoder.rawPath()
-    val path: String = decoder.path()
+    val path: String = decodedOr(sentPath) { decoder.path() }
 
     /** Frees the memory of the body; call it once the body is no longer needed. */
     fun dropBody() {
@@ -28,5 +28,17 @@
 
     fun header(name: String): String? = headers[name]
 
-    fun query(name: String): String? = decoder.parameters()[name]?.firstOrNull()
+    /** Returns the value of a query parameter; null if there is none, or if the query cannot be decoded. */
+    fun query(name: String): String? = decodedOr(emptyMap()) { decoder.parameters() }[name]?.firstOrNull()
+
+    /** Returns [fallback] for a % that no two hexadecimal digits follow. */
+    private fun <T> decodedOr(
+        fallback: T,
+        decode: () -> T,
+    ): T =
+        try {
+            decode()
+        } catch (_: IllegalArgumentException) {
+            fallback
+        }
 }
--- a/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
+++ b/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
@@ -51,6 +51,24 @@
             }
         }
 
+        /** Guards against a request that ends its connection without an answer and keeps its body reserved for good. */
+        @Test
+        fun `a path or query that cannot be decoded reaches the handler as it was sent`() {
+            val paths = mutableListOf<String>()
+            val handler = { exchange: Exchange ->
+                paths += exchange.request.path
+                exchange.respond(200, "text/plain", exchange.request.query("q").orEmpty().encodeToByteArray())
+            }
+            LoopbackFixture(ServerLimits(maxBufferedBytes = 10), handler).use { fixture ->
+                for (uri in listOf("/desk/100%", "/desk/100%2", "/desk/%zz?q=1", "/desk?q=%")) {
+                    val request = ClientRequest(fixture.address, "POST", uri, ByteArray(8))
+                    assertEquals(200, fixture.call(request).get()?.status, uri)
+                }
+                assertEquals(listOf("/desk/100%", "/desk/100%2", "/desk/%zz", "/desk"), paths)
+                assertEquals(0, fixture.server.bufferedBytes)
+            }
+        }
+
         /** Guards against many bodies that arrive at once and exhaust the memory. */
         @Test
         fun `a body that exceeds the body budget is refused at once`() {
