--- a/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
+++ b/net/src/test/kotlin/samphirechute/net/HttpServerSpec.kt
@@ -57,7 +57,14 @@
             val paths = mutableListOf<String>()
             val handler = { exchange: Exchange ->
                 paths += exchange.request.path
-                exchange.respond(200, "text/plain", exchange.request.query("q").orEmpty().encodeToByteArray())
+                exchange.respond(
+                    200,
+                    "text/plain",
+                    exchange.request
+                        .query("q")
+                        .orEmpty()
+                        .encodeToByteArray(),
+                )
             }
             LoopbackFixture(ServerLimits(maxBufferedBytes = 10), handler).use { fixture ->
                 for (uri in listOf("/desk/100%", "/desk/100%2", "/desk/%zz?q=1", "/desk?q=%")) {
