--- a/serving/src/main/kotlin/samphirechute/serving/cluster/PackedConfig.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/PackedConfig.kt
@@ -4,6 +4,7 @@
 import samphirechute.state.store.AdoptedConfig
 import java.io.ByteArrayOutputStream
 import java.util.Base64
+import java.util.zip.CRC32
 import java.util.zip.DataFormatException
 import java.util.zip.Deflater
 import java.util.zip.Inflater
@@ -18,6 +19,9 @@
     /** The content in UTF-8, deflated, in Base64. */
     val packed: String,
 ) {
+    /** Identifies the content in log lines. Operators may send other content under the same revision. */
+    val digest: String get() = digestOf(packed)
+
     /** The configuration, or null when it is damaged or larger than any that is accepted. */
     fun unpack(): AdoptedConfig? {
         val out = ByteArrayOutputStream()
@@ -46,6 +50,9 @@
         /** Control instances accept bodies of up to 8 MiB. */
         private const val MAX_BYTES = 8 * 1024 * 1024
 
+        /** The [digest] of content in packed form. */
+        fun digestOf(packed: String): String = "%08x".format(CRC32().apply { update(packed.encodeToByteArray()) }.value)
+
         /** Compresses a configuration. */
         fun of(config: AdoptedConfig): PackedConfig {
             val out = ByteArrayOutputStream()
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -89,6 +89,9 @@
     private var applyFailures = 0
     private var retry: Subscription? = null
 
+    /** The lowest revision that has been logged as older than the one in force. */
+    private var regressedBelow = Long.MAX_VALUE
+
     private val entryCount = InstanceCount(timer)
 
     /**
@@ -146,11 +149,20 @@
         reply.busy?.let(listener::applyBusy)
         addInstances(reply.members)
         link.position = reply.position
+        if (isEntry) logRegression(link)
         reply.config?.let { acceptContent(it, link) }
         fetchNewest()
         updateConfirmed()
     }
 
+    /** The leader never names an older revision than one that was committed, so this shows that the store has lost one. */
+    private fun logRegression(link: Link) {
+        if (!link.isLeader || link.lastRevision >= minOf(listener.revision, regressedBelow)) return
+        regressedBelow = link.lastRevision
+        val fields = mapOf("revision" to link.lastRevision, "held" to listener.revision, "leader" to link.instance)
+        log.warn("configuration_regressed", fields + mapOf("position" to link.position))
+    }
+
     private fun updateConfirmed() {
         if (isConfirmed || listener.revision == 0L) return
         val current = links.values.filter { it.isUp && it.isCurrent }
@@ -212,6 +224,7 @@
                 "configuration_received",
                 mapOf(
                     "revision" to config.revision,
+                    "digest" to packed.digest,
                     "held" to listener.revision,
                     "from" to source.instance,
                     "current" to source.isCurrent,
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -31,7 +31,6 @@
 import samphirechute.state.raft.RaftNode
 import samphirechute.state.raft.RaftTimings
 import samphirechute.state.raft.identity
-import samphirechute.state.store.AdoptedConfig
 import samphirechute.state.store.StoreState
 import java.util.UUID
 import kotlin.random.Random
@@ -173,11 +172,11 @@
 
     /** Commits a configuration; one that is no newer than the committed one counts as done. */
     fun adopt(
-        config: AdoptedConfig,
+        config: PackedConfig,
         onResult: (AdoptOutcome) -> Unit,
     ) {
         if (config.revision <= (state.adopted?.revision ?: 0)) return onResult(AdoptOutcome.Held(position))
-        submit(Command.AdoptConfig(config.revision, PackedConfig.of(config).packed), onResult)
+        submit(Command.AdoptConfig(config.revision, config.packed), onResult)
     }
 
     /** Takes a failure domain out of service or brings it back. */
@@ -280,6 +279,7 @@
                 "configuration_committed",
                 mapOf(
                     "revision" to command.revision,
+                    "digest" to PackedConfig.digestOf(command.content),
                     "held" to state.adopted?.revision,
                     "index" to entry.index,
                     "term" to entry.term,
