Refuse a route or a key for good only by the newest configuration

An entry instance answered 404 and 401 by whatever configuration it had, and callers do not come back after them. Why it was behind the record does not show.

The leader is now asked for the newest revision, which a majority confirms, before such an answer.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ClusterRoutes.kt
@@ -23,6 +23,7 @@
     val raft = PeerRoute("/peer/v1/raft", RaftMessage.serializer(), Unit.serializer())
     val commands = PeerRoute("/peer/v1/commands", Command.serializer(), CommandReply.serializer())
     val readConfig = PeerRoute("/peer/v1/configuration", Unit.serializer(), ReadReply.serializer())
+    val confirmRevision = PeerRoute("/peer/v1/revision", Unit.serializer(), RevisionReply.serializer())
     val readDrains = PeerRoute("/peer/v1/drains", Unit.serializer(), DrainsReply.serializer())
     val watch = PeerRoute("/peer/v1/watch", WatchRequest.serializer(), WatchReply.serializer())
     val fetchConfig = PeerRoute("/peer/v1/watch/configuration", ConfigRequest.serializer(), ConfigReply.serializer())
@@ -63,6 +64,14 @@
     val position: LogPosition? = null,
 )
 
+/** The newest revision of the configuration at the leader, 0 if there is none. */
+@Serializable
+data class RevisionReply(
+    /** True when a majority confirms that the revision is the newest. */
+    val isConfirmed: Boolean,
+    val revision: Long = 0,
+)
+
 /** The drained failure domains, or null if no majority confirms that they are the newest. */
 @Serializable
 data class DrainsReply(
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -107,6 +107,15 @@
 
     fun isReachable(instance: InstanceId) = links[instance]?.isUp ?: false
 
+    /** Notes the newest revision that [instance] has named outside its answers to polls, and fetches it if it is newer. */
+    fun noteRevision(
+        instance: InstanceId,
+        revision: Long,
+    ) {
+        links[instance]?.noteRevision(revision)
+        fetchNewest()
+    }
+
     private fun addInstances(instances: List<InstanceId>) {
         known += instances - settings.instance
         openLinks()
@@ -203,7 +212,7 @@
     ) {
         if (!acceptContent(reply.config, source)) return retryElsewhere(source)
         failedSource = null
-        source.noteRevision(reply.config)
+        source.noteRevision(reply.config?.revision ?: 0)
         updateConfirmed()
         fetchNewest()
     }
@@ -323,9 +332,9 @@
         /** True while the instance answers without contact to a majority, so that it may never learn of changes. */
         val isOutOfContact get() = isUp && !isCurrent
 
-        /** Notes that the instance holds the content it has sent, which may be newer than its last answer to a poll. */
-        fun noteRevision(sent: PackedConfig?) {
-            lastRevision = maxOf(lastRevision, sent?.revision ?: 0)
+        /** Notes that the instance holds a revision, which may be newer than its last answer to a poll. */
+        fun noteRevision(revision: Long) {
+            lastRevision = maxOf(lastRevision, revision)
         }
 
         fun poll() {
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -16,6 +16,7 @@
 import samphirechute.serving.cluster.LogPosition
 import samphirechute.serving.cluster.PackedConfig
 import samphirechute.serving.cluster.ReadReply
+import samphirechute.serving.cluster.RevisionReply
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.address
 import samphirechute.serving.cluster.drainedDomains
@@ -167,6 +168,7 @@
         }
         api.on(ClusterRoutes.commands) { command, exchange -> proposeLocally(command, exchange::answer) }
         api.on(ClusterRoutes.readConfig) { _, exchange -> readLocally { exchange.answer(it) } }
+        api.on(ClusterRoutes.confirmRevision) { _, exchange -> confirmRevisionLocally(exchange::answer) }
         api.on(ClusterRoutes.readDrains) { _, exchange -> readDrainsLocally(exchange::answer) }
     }
 
@@ -337,6 +339,9 @@
             onResult(ReadReply(state != null, config, position))
         }
 
+    private fun confirmRevisionLocally(onResult: (RevisionReply) -> Unit) =
+        driver.confirmedRead { state -> onResult(RevisionReply(state != null, state?.adopted?.revision ?: 0)) }
+
     private fun readDrainsLocally(onResult: (DrainsReply) -> Unit) =
         driver.confirmedRead { state -> onResult(DrainsReply(state?.drainedDomains())) }
 
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -20,6 +20,7 @@
 import samphirechute.serving.cluster.PaceMonitor
 import samphirechute.serving.cluster.QuarantineNotice
 import samphirechute.serving.cluster.QuarantineRegistry
+import samphirechute.serving.cluster.RevisionCheck
 import samphirechute.serving.cluster.ServingSettings
 import samphirechute.serving.cluster.UpstreamAvailability
 import samphirechute.serving.cluster.UpstreamRecord
@@ -49,6 +50,8 @@
     private val peerClient = PeerClient(HttpClient(loop, CONNECT_TIMEOUT_MS))
     private val table = UpstreamTable()
     private val watcher: Watcher = Watcher(settings, timer, peerClient, isEntry = true, Listener())
+    private val revisionCheck: RevisionCheck =
+        RevisionCheck(timer, peerClient, watcher) { requestHandler.revision ?: 0 }
     private val upstreamLimits = UpstreamLimits { watcher.entries }
     private val limits = LimitRegistry(settings.instance, timer, upstreamLimits, registry)
     private val requestQuarantine = RequestQuarantine(settings.instance)
@@ -61,7 +64,7 @@
     private val budget =
         RetryBudget(keptShare = RetryParts.KEPT_SHARE) { RetryParts.ofInstance(settings.retryFloor, watcher.entries) }
     private val availability = UpstreamAvailability(timer, table, { view.drains }) { view.applyRecords(table.all()) }
-    private val requestHandler =
+    private val requestHandler: RequestHandler =
         RequestHandler(
             RelayContext(
                 settings,
@@ -75,6 +78,7 @@
                 quarantine,
                 RequestLog(registry),
             ),
+            revisionCheck::confirm,
         )
     private var isStopping = false
     private val startedMs = timer.nowMs()
--- a/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/Refusal.kt
@@ -15,6 +15,9 @@
     /** No configuration is known yet. */
     data object NotReady : Refusal(503, "not_ready", retryAfterMs = NOT_READY_RETRY_MS)
 
+    /** The newest configuration, which may allow the request, is not known to be in use here. */
+    data object Unconfirmed : Refusal(503, "revision_unconfirmed", retryAfterMs = UNCONFIRMED_RETRY_MS)
+
     /** This instance stops before the request could end. Another instance can take it at once. */
     data object Stopping : Refusal(503, "stopping", retryAfterMs = STOPPING_RETRY_MS)
 
@@ -38,7 +41,7 @@
     /** The refusal to send in place of this one if an upstream may have run the request; it promises nothing. */
     fun withoutPromise(): Refusal =
         when (this) {
-            is Busy, NotReady -> Lost(code)
+            is Busy, NotReady, Unconfirmed -> Lost(code)
             Stopping -> Lost("stopped")
             TimedOutUnsent -> TimedOut
             is Lost, TimedOut, NoRoute, UnknownKey, MissingId -> this
@@ -47,6 +50,9 @@
     private companion object {
         /** By then, this or another instance is likely to have the configuration. */
         const val NOT_READY_RETRY_MS = 1_000L
+
+        /** About the time of an election. */
+        const val UNCONFIRMED_RETRY_MS = 500L
         const val STOPPING_RETRY_MS = 100L
         const val UNSENT_RETRY_MS = 500L
     }
--- a/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/relay/RequestHandler.kt
@@ -3,6 +3,7 @@
 import samphirechute.core.RequestTrait
 import samphirechute.core.time.Subscription
 import samphirechute.net.Exchange
+import samphirechute.serving.cluster.RevisionOutcome
 import samphirechute.serving.cluster.Route
 import samphirechute.serving.cluster.ServingConfig
 import samphirechute.serving.cluster.Team
@@ -17,6 +18,8 @@
  */
 internal class RequestHandler(
     private val context: RelayContext,
+    /** Passes on whether the configuration in use is the newest one. */
+    private val confirmRevision: ((RevisionOutcome) -> Unit) -> Unit,
     private val random: Random = Random.Default,
 ) {
     private val timer = context.timer
@@ -26,6 +29,9 @@
     private val held = LinkedHashMap<Exchange, Held>()
     private var table: RouteTable? = null
 
+    /** Requests that the configuration in use refuses for good, until it is known to be the newest one. */
+    private val unconfirmed = LinkedHashMap<Exchange, CallerRequest>()
+
     /** The revision of the configuration in use, or null before the first one. */
     val revision: Long? get() = table?.config?.revision
 
@@ -70,21 +76,26 @@
             heldRequest.timeout.cancel()
             refuse(exchange, context.protocol.read(exchange.request), Refusal.Stopping)
         }
+        val unanswered = unconfirmed.toMap()
+        unconfirmed.clear()
+        unanswered.forEach { (exchange, caller) -> refuse(exchange, caller, Refusal.Stopping) }
     }
 
     private fun handle(
         exchange: Exchange,
         arrivedMs: Long,
+        isNewest: Boolean = false,
     ) {
         val request = exchange.request
         val caller = context.protocol.read(request)
         if (hasEnded) return refuse(exchange, caller, Refusal.Stopping)
         val current = table ?: return hold(exchange, caller, arrivedMs)
-        val route = current.find(caller.host, request.sentPath) ?: return refuse(exchange, caller, Refusal.NoRoute)
+        val route = current.find(caller.host, request.sentPath)
+        if (route == null) return refuseByNewest(exchange, caller, Refusal.NoRoute, arrivedMs, isNewest)
         if (caller.id == null) return refuse(exchange, caller, Refusal.MissingId)
         val team = caller.key?.let { current.config.teamsByKey[it] }
         if (team == null && requiresKey(current.config, route.isPublic)) {
-            return refuse(exchange, caller, Refusal.UnknownKey)
+            return refuseByNewest(exchange, caller, Refusal.UnknownKey, arrivedMs, isNewest)
         }
         if (!canEndInTime(route, caller)) return refuse(exchange, caller, Refusal.Stopping)
         val whole = wholeRequestTrait(request, caller.host, team?.name, caller.key)
@@ -114,6 +125,30 @@
         return decision.isAdmitted
     }
 
+    /**
+     * Refuses a request for good if [isNewest], and otherwise handles it again once the newest configuration is in use, since
+     * callers do not repeat a request after such a refusal.
+     */
+    private fun refuseByNewest(
+        exchange: Exchange,
+        caller: CallerRequest,
+        refusal: Refusal,
+        arrivedMs: Long,
+        isNewest: Boolean,
+    ) {
+        if (isNewest) return refuse(exchange, caller, refusal)
+        if (unconfirmed.size >= MAX_UNCONFIRMED) return refuse(exchange, caller, Refusal.Unconfirmed)
+        unconfirmed[exchange] = caller
+        exchange.onAborted = { unconfirmed -= exchange }
+        confirmRevision { outcome ->
+            if (unconfirmed.remove(exchange) == null) return@confirmRevision
+            when (outcome) {
+                RevisionOutcome.NEWEST -> handle(exchange, arrivedMs, isNewest = true)
+                RevisionOutcome.UNKNOWN -> refuse(exchange, caller, Refusal.Unconfirmed)
+            }
+        }
+    }
+
     private fun onEnd(relay: Relay) {
         relays -= relay
         relay.wholeAfterMs?.let { stopAdmission.record(relay.route, it) }
@@ -186,5 +221,6 @@
         const val STARTING_MS = 2_000L
 
         const val MAX_HELD = 64
+        const val MAX_UNCONFIRMED = 256
     }
 }
--- a/serving/src/test/kotlin/samphirechute/serving/relay/FinalAnswerSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/relay/FinalAnswerSpec.kt
@@ -16,6 +16,7 @@
             Refusal.UnknownKey,
             Refusal.MissingId,
             Refusal.NotReady,
+            Refusal.Unconfirmed,
             Refusal.Stopping,
             Refusal.Busy("overloaded", 500),
             Refusal.Lost("closed"),
