Read the addresses of control instances again when none is reached

Callers were refused acknowledged routes (404), and had requests run by the service of an older configuration, at entry instances that had been cut off while the whole core was replaced, for good after they were back.

Cause: a process took the addresses of control instances from its settings at its start only, and learns others only from control instances that it reaches. Once all that it knows are gone it asks dead addresses for ever. The platform writes the new addresses into the settings file, with SIGHUP or without; the process logged reload_ignored.

--- a/bench/src/main/kotlin/samphirechute/bench/core/CorePlan.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/core/CorePlan.kt
@@ -119,6 +119,6 @@
         private val REPLACEMENT_MS = 0L..3_500L
         private val SETTLE_MS = 0L..9_000L
         private const val CATCH_UP_MS = 4_500L
-        private val DOWN_MS = 1_000L..4_000L
+        private val DOWN_MS = 100L..4_000L
     }
 }
--- a/bench/src/main/kotlin/samphirechute/bench/core/CoreRound.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/core/CoreRound.kt
@@ -68,7 +68,7 @@
             "stale_within_recovery=${prober.probes.count { !it.isAllowed && isAroundLoss(it) }}"
 
     private fun isAroundLoss(probe: Probe) =
-        probe.sentMs > struckMs - Operator.CALL_MS && probe.sentMs < backMs + RECOVER_MS
+        probe.sentMs > struckMs - Operator.CALL_MS && probe.sentMs < backMs + IN_TOUCH_MS
 
     /** All replacements, the last of which the strike may interrupt. */
     private fun replaceCore() {
@@ -222,6 +222,9 @@
         const val START_MS = 30_000L
         const val NO_STRIKE_MS = 12_000L
         const val RECOVER_MS = 12_000L
+
+        /** From then on a machine counts as in touch after a fault of the whole core, twice the time of any other fault. */
+        const val IN_TOUCH_MS = 6_000L
         const val NEXT_MS = 4_000L
         const val POLL_MS = 50L
         const val READ_TRIES = 10
--- a/bench/src/main/kotlin/samphirechute/bench/system/Workspace.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/system/Workspace.kt
@@ -3,6 +3,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.io.path.createDirectories
 import kotlin.io.path.moveTo
@@ -22,6 +23,7 @@
             .createDirectories()
     val random = Random(seed)
     private val children = CopyOnWriteArrayList<Child>()
+    private val givenOut: MutableSet<Pair<String, Int>> = ConcurrentHashMap.newKeySet()
 
     /** Outgoing connections leave from 127.0.0.1 and take ports there, so servers that are started again listen elsewhere. */
     private val network = "127.${FIRST_NETWORK + pid / HOSTS % NETWORKS}.${pid % HOSTS + 1}"
@@ -49,13 +51,19 @@
     /** An address of this run; instances that share a port need one each. */
     fun ip(host: Int) = "$network.$host"
 
-    /** Ports that are free at [ip], all different. */
+    /** Ports that are free at [ip], all different, and given out once only, since a process may take its port later. */
     fun freePorts(
         ip: String,
         count: Int,
     ): List<Int> {
-        val sockets = List(count) { ServerSocket(0, 1, InetAddress.getByName(ip)) }
-        return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
+        val sockets = ArrayList<ServerSocket>()
+        val ports = ArrayList<Int>()
+        while (ports.size < count) {
+            val socket = ServerSocket(0, 1, InetAddress.getByName(ip)).also { sockets += it }
+            if (givenOut.add(ip to socket.localPort)) ports += socket.localPort
+        }
+        sockets.forEach { it.close() }
+        return ports
     }
 
     /** Keeps [data] as it is under another name, and puts a copy in its place. */
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/ServingSettings.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/ServingSettings.kt
@@ -30,6 +30,8 @@
     val placing: PlacingPolicy = PlacingPolicy(),
     /** Opens [dataFolder]; benches pass one that records what is durable. */
     val openFolder: (Path) -> Folder = ::NioFolder,
+    /** Reads [seeds] again, which change as control instances are replaced; empty if that fails. */
+    val readSeeds: () -> List<HostPort> = { seeds },
 ) {
     val instance: InstanceId get() = InstanceId(peerAddress.toString())
 }
--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -58,6 +58,7 @@
     private val log = KeyValueLog("watch")
     private val policy = FollowPolicy(isEntry)
     private val known = LinkedHashSet<InstanceId>()
+    private var seeds = settings.seeds
     private val links = LinkedHashMap<InstanceId, Link>()
 
     /** The leader of the store, as named by the last answer from an instance that has contact with it. */
@@ -100,7 +101,29 @@
      */
     val entries: Int get() = entryCount.value
 
-    fun start() = addInstances(settings.seeds.map { InstanceId(it.toString()) })
+    /** Called with addresses of control instances that the settings name now. */
+    var onSeedsChanged: (List<HostPort>) -> Unit = {}
+
+    fun start() {
+        addInstances(seeds.map { InstanceId(it.toString()) })
+        timer.every(SEEDS_CHECK_MS) { if (isOutOfContact) reloadSeeds() }
+    }
+
+    /** True while no control instance answers that is in contact with the leader. */
+    private val isOutOfContact get() = links.values.none { it.isUp && it.isCurrent }
+
+    /**
+     * Follows the control instances that the settings name now. All that this instance knows may have been replaced while it
+     * had no contact to them.
+     */
+    fun reloadSeeds() {
+        val next = settings.readSeeds()
+        if (next.isEmpty() || next == seeds) return
+        log.event("seeds_changed", mapOf("seeds" to next, "before" to seeds, "in_contact" to !isOutOfContact))
+        seeds = next
+        addInstances(next.map { InstanceId(it.toString()) })
+        onSeedsChanged(next)
+    }
 
     /** The control instances whose last call succeeded. */
     fun reachable(): List<InstanceId> = links.values.filter { it.isUp }.map { it.instance }
@@ -393,7 +416,7 @@
             if (isUp || failures == 0) log.event("control_lost", mapOf("instance" to instance, "error" to error.detail))
             isUp = false
             failures++
-            if (failures > FORGET_AFTER_FAILURES && instance.address !in settings.seeds) {
+            if (failures > FORGET_AFTER_FAILURES && instance.address !in seeds) {
                 links -= instance
                 known -= instance
                 return
@@ -416,5 +439,6 @@
         const val FETCH_RETRY_MS = 150L
         const val CONFIRMING_FOLLOWERS = 2
         const val FORGET_AFTER_FAILURES = 200
+        const val SEEDS_CHECK_MS = 1_000L
     }
 }
--- a/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/ControlNode.kt
@@ -98,6 +98,7 @@
         pace.start()
         store.onChanged = ::stateChanged
         store.afterDelivery = watchServer::afterDelivery
+        watcher.onSeedsChanged = store::updatePeers
         store.start()
         stateChanged()
         registry.start()
@@ -114,6 +115,9 @@
         log.event("control_started", mapOf("instance" to settings.instance, "name" to settings.name))
     }
 
+    /** Reads the addresses of control instances from the settings again. */
+    fun reloadSeeds() = watcher.reloadSeeds()
+
     /** Records that an upstream has announced that it leaves; [onResult] is true once a majority of the store knows. */
     fun markDraining(
         record: UpstreamRecord,
--- a/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/control/StoreMember.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.fold
 import samphirechute.core.FailureDomain
+import samphirechute.core.HostPort
 import samphirechute.core.InstanceId
 import samphirechute.core.log.KeyValueLog
 import samphirechute.core.time.Subscription
@@ -230,6 +231,10 @@
             }
     }
 
+    /** Looks for the store at these control instances too while no leader contacts this member. */
+    fun updatePeers(seeds: List<HostPort>) =
+        driver.node.updatePeers(seeds.mapTo(HashSet()) { InstanceId(it.toString()) })
+
     override fun close() = driver.close()
 
     private fun submit(
--- a/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/entry/EntryNode.kt
@@ -109,6 +109,9 @@
 
     fun handle(exchange: Exchange) = requestHandler.handle(exchange)
 
+    /** Reads the addresses of control instances from the settings again. */
+    fun reloadSeeds() = watcher.reloadSeeds()
+
     /**
      * Makes this instance not ready, so that it gets no new connections. Requests that still arrive are served if they can
      * end within [limitMs].
--- a/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
+++ b/serving/src/test/kotlin/samphirechute/serving/cluster/WatcherSpec.kt
@@ -209,6 +209,54 @@
         }
     }
 
+    @Nested
+    inner class Seeds {
+        private val gone = HttpServer(loop, handler = {}).run { bind(HostPort("127.0.0.1", 0)).also { close() } }
+
+        @Volatile
+        private var seeds = listOf(gone)
+        private val restarted =
+            Watcher(
+                settings.copy(seeds = seeds, readSeeds = { seeds }),
+                loop.timer,
+                PeerClient(HttpClient(loop, CONNECT_TIMEOUT_MS)),
+                isEntry = true,
+                listener,
+            )
+
+        /** Guards against an old configuration for good at an instance that was cut off while all it knew were replaced. */
+        @Test
+        fun `are read again while no control instance is reached`() {
+            controls.forEach { it.config = CONFIG_7 }
+            loop.post { restarted.start() }
+            seeds = listOf(controls.first().address)
+            await { listener.revision == CONFIG_7.revision }
+        }
+
+        @Test
+        fun `that are read again on demand are followed beside those known before`() {
+            controls.forEach { it.config = CONFIG_7 }
+            seeds = listOf(controls[0].address)
+            loop.post { restarted.start() }
+            await { restarted.reachable().isNotEmpty() }
+            seeds = listOf(controls[1].address)
+            loop.post { restarted.reloadSeeds() }
+            await { restarted.reachable().size == 2 }
+        }
+
+        /** Guards against an instance that forgets all it knows because its settings are being written. */
+        @Test
+        fun `that cannot be read change nothing`() {
+            controls.forEach { it.config = CONFIG_7 }
+            seeds = listOf(controls.first().address)
+            loop.post { restarted.start() }
+            await { restarted.reachable().isNotEmpty() }
+            seeds = emptyList()
+            onLoop { restarted.reloadSeeds() }
+            assertEquals(1, onLoop { restarted.reachable().size })
+        }
+    }
+
     @Nested
     inner class Records {
         private val record =
--- a/state/src/main/kotlin/samphirechute/state/raft/Member.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/Member.kt
@@ -12,13 +12,16 @@
  */
 internal class Member(
     val self: StoreMember,
-    val peers: Set<InstanceId>,
+    peers: Set<InstanceId>,
     restored: RestoredLog,
     val timings: RaftTimings,
     val random: Random,
     startMs: Long,
 ) {
     val identity = self.identity
+
+    /** The store members that the settings name, without this one. */
+    var peers = peers
     var hardState = restored.hardState
         private set
     var state = restored.state
--- a/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
+++ b/state/src/main/kotlin/samphirechute/state/raft/RaftNode.kt
@@ -24,7 +24,7 @@
     startMs: Long,
     timings: RaftTimings = RaftTimings(),
     /** False for a member that joins an existing log, for example after its disk was wiped. */
-    canBootstrap: Boolean = true,
+    private val canBootstrap: Boolean = true,
 ) {
     private val member = Member(self, peers - self.instance, restored, timings, random, startMs)
     private val follower = Follower(member)
@@ -72,6 +72,14 @@
     /** Asks the leader to remove this member, which is about to stop, on each tick until [hasLeft]. */
     fun leave() = departure.request()
 
+    /**
+     * Replaces the store members named in the settings, to which a member without a leader makes itself known. One that may
+     * still create the store keeps those of its start, since they become its members.
+     */
+    fun updatePeers(peers: Set<InstanceId>) {
+        if (!canBootstrap || !member.isEmpty) member.peers = peers - member.self.instance
+    }
+
     /** On the leader: the voters that have the log up to [index] on disk; null on any other member. */
     fun durableVoters(index: Long): List<StoreMember>? = leadership?.durableVoters(index)
 
--- a/state/src/test/kotlin/samphirechute/state/raft/JoiningSpec.kt
+++ b/state/src/test/kotlin/samphirechute/state/raft/JoiningSpec.kt
@@ -55,6 +55,34 @@
             assertEquals(1, creating.lastIndex)
         }
 
+        /** Guards against a member that never joins because all that it was started with were replaced before it reached one. */
+        @Test
+        fun `members that wait for the store ask the members that the settings name now`() {
+            val joining =
+                RaftNode(member("x"), setOf(InstanceId("gone")), RestoredLog(), random(), 0, canBootstrap = false)
+            assertEquals(setOf(InstanceId("gone")), asked(joining, 0L..2_000L))
+            joining.updatePeers(setOf(InstanceId("x"), InstanceId("y")))
+            assertEquals(setOf(InstanceId("y")), asked(joining, 2_020L..4_000L))
+        }
+
+        /** Guards against a store that is founded by other members than its first start named. */
+        @Test
+        fun `members that may create the store keep those of its first start`() {
+            val creating = RaftNode(member("x"), setOf(InstanceId("y")), RestoredLog(), random(), 0)
+            creating.updatePeers(setOf(InstanceId("x")))
+            assertEquals(setOf(InstanceId("y")), asked(creating, 0L..2_000L))
+            assertEquals(0, creating.lastIndex)
+        }
+
+        private fun asked(
+            node: RaftNode,
+            timesMs: LongRange,
+        ) = (timesMs step 20)
+            .flatMap { node.handle(RaftInput.Tick(it), it) }
+            .filterIsInstance<RaftOutput.Send>()
+            .map { it.to }
+            .toSet()
+
         private fun random() = kotlin.random.Random(1)
 
         private fun member(name: String) =
