--- a/bench/src/main/kotlin/samphirechute/bench/core/CorePlan.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/core/CorePlan.kt
@@ -91,13 +91,16 @@
     val downMs = DOWN_MS.random(random)
     val kept = Kept.entries.random(random)
 
+    /** True if an entry instance is suspended while the whole core is replaced. */
+    val suspendsEntry = random.nextInt(PERCENT) < SUSPEND_PERCENT
+
     override fun toString() =
         "entries=$entries routes=$furtherRoutes version_every_ms=$versionEveryMs " +
             "second_operator=$secondOperatorPercent " +
             "replaced=${replacements.joinToString(",") { "${it.control}:${it.going}:${it.gapMs}" }} " +
             "freezes=${freezes.joinToString(",") { "${it?.second ?: 0}" }} " +
             "strike=$strike strike_after_ms=$strikeAfterMs settle_ms=$settleMs " +
-            "lost_disk=$lostDisk down_ms=$downMs kept=$kept"
+            "lost_disk=$lostDisk down_ms=$downMs kept=$kept suspends_entry=$suspendsEntry"
 
     companion object {
         const val CONTROLS = 3
@@ -114,6 +117,7 @@
         private val GAP_MS = 500L..3_000L
         private val SEED_LAG_MS = 0L..3_000L
         private const val FREEZE_PERCENT = 25
+        private const val SUSPEND_PERCENT = 40
         private val FREEZE_MS = 300L..2_500L
         private val SENDING_MS = 5L..400L
         private val REPLACEMENT_MS = 0L..3_500L
--- a/bench/src/main/kotlin/samphirechute/bench/core/CoreRound.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/core/CoreRound.kt
@@ -72,6 +72,8 @@
 
     /** All replacements, the last of which the strike may interrupt. */
     private fun replaceCore() {
+        val suspended = system.entries.first().takeIf { plan.suspendsEntry }
+        suspended?.child?.signal("STOP")
         for ((index, replacement) in plan.replacements.withIndex()) {
             pause(replacement.pauseMs)
             freeze(index)
@@ -85,6 +87,10 @@
             return strike()
         }
         pause(frozenUntilMs - clock.nowMs())
+        suspended?.run {
+            writeSettings(system.seeds())
+            child?.signal("CONT")
+        }
         pause(plan.settleMs)
         when (plan.strike) {
             Strike.AFTER_ACKNOWLEDGEMENT -> {
--- a/bench/src/main/kotlin/samphirechute/bench/core/CoreSystem.kt
+++ b/bench/src/main/kotlin/samphirechute/bench/core/CoreSystem.kt
@@ -13,6 +13,7 @@
 import samphirechute.bench.system.Workspace
 import samphirechute.platform.PlatformHeaders
 import samphirechute.platform.SETTINGS_VARIABLE
+import java.nio.file.Path
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.io.path.writeText
@@ -45,13 +46,16 @@
         @Synchronized
         fun start(seeds: List<String>) {
             if (isOff) return
-            val file = workspace.folder("settings").resolve("$name.json")
-            file.writeText(settings(seeds).toString())
+            val file = writeSettings(seeds)
             val variables = mapOf(SETTINGS_VARIABLE to "$file")
             child?.restart()
             if (child == null) child = workspace.start(name, build, Launch(command(), build.folder, variables))
         }
 
+        /** Writes the settings file, which a running process reads again, and returns it. */
+        fun writeSettings(seeds: List<String>): Path =
+            workspace.folder("settings").resolve("$name.json").apply { writeText(settings(seeds).toString()) }
+
         private fun command(): List<String> {
             val command = build.roleCommand(role)
             if (role != "control" || plan.kept == Kept.WRITTEN) return command
