Say when configuration_regressed is no loss

Read again as a newcomer: an answer that another one overtook, or a leader that is about to be replaced, gives the line too.

--- a/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
+++ b/serving/src/main/kotlin/samphirechute/serving/cluster/Watcher.kt
@@ -187,7 +187,10 @@
         updateConfirmed()
     }
 
-    /** The leader never names an older revision than one that was committed, so this shows that the store has lost one. */
+    /**
+     * Logs each older revision once that the leader names. The store has lost the newer one then, unless this answer was
+     * overtaken or the leader has just been replaced.
+     */
     private fun logRegression(link: Link) {
         if (!link.isLeader || link.lastRevision >= minOf(listener.revision, regressedBelow)) return
         regressedBelow = link.lastRevision
