Review case 15: two of four core machines that end for good

Cause: a successor is a voter at once, and a voter that has ended is removed after 0.7 s only, so four voters bear less than three.

--- a/review/stand-ins-3/Fleet.java
+++ b/review/stand-ins-3/Fleet.java
@@ -29,6 +29,7 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofSeconds(1)).build();
     private final String cores;
     private final double graceS;
+    private int nextControl;
 
     Fleet(int controls, int entries) throws IOException {
         this(controls, entries, 8);
@@ -36,6 +37,7 @@
 
     Fleet(int controls, int entries, double graceS) throws IOException {
         this.graceS = graceS;
+        nextControl = controls + 1;
         folder = Files.createTempDirectory("review-3-");
         net = "127." + ThreadLocalRandom.current().nextInt(20, 120) + "." + ThreadLocalRandom.current().nextInt(1, 250);
         port = freePorts();
@@ -77,6 +79,14 @@
         for (Node node : nodes) node.start();
     }
 
+    /** Adds a machine for control at a new address, with an empty disk. */
+    Node addControl() {
+        Node node = new Node("control", nextControl, net + "." + nextControl);
+        nextControl++;
+        nodes.add(node);
+        return node;
+    }
+
     /** Sends a configuration until a control instance acknowledges it; the platform's operator does the same. */
     void configure(String body, long limitMs) throws Exception {
         long untilMs = System.currentTimeMillis() + limitMs;
@@ -167,6 +177,7 @@
             start(true);
         }
 
+        /** Starts the process; {@code isFirst} is false for any start but the first one of the whole system. */
         void start(boolean isFirst) throws IOException {
             Path file = folder.resolve(role + "-" + number + ".json");
             Path data = folder.resolve("data-" + number);
