--- a/review/stand-ins-3/Fleet.java
+++ b/review/stand-ins-3/Fleet.java
@@ -28,15 +28,9 @@
     private final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofSeconds(1)).build();
     private final String cores;
-    private final double graceS;
     private int nextControl;
 
     Fleet(int controls, int entries) throws IOException {
-        this(controls, entries, 8);
-    }
-
-    Fleet(int controls, int entries, double graceS) throws IOException {
-        this.graceS = graceS;
         nextControl = controls + 1;
         folder = Files.createTempDirectory("review-3-");
         net = "127." + ThreadLocalRandom.current().nextInt(20, 120) + "." + ThreadLocalRandom.current().nextInt(1, 250);
@@ -196,10 +190,10 @@
                                     + "\"listen\": {%s}, \"seeds\": [%s], \"bootstrap\": %s, \"in_tolerance\": %s, "
                                     + "\"data_dir\": %s, \"heartbeat_interval_ms\": 1200, "
                                     + "\"fault_tolerance\": {\"machines\": 1, \"zones\": 1, \"regions\": 0}, "
-                                    + "\"bounds\": {\"budget_slack\": 219, \"grace_s\": %s}}",
+                                    + "\"bounds\": {\"budget_slack\": 219, \"grace_s\": 8}}",
                             role, number, role, hasDisk ? "core" : "front", hasDisk ? "control" : "front", ip, zone(),
                             port, port + 9, listen, cores, isFirst, hasDisk,
-                            hasDisk ? "\"" + data + "\"" : "null", graceS));
+                            hasDisk ? "\"" + data + "\"" : "null"));
             ProcessBuilder builder = new ProcessBuilder(command(role));
             builder.environment().put("SAMPHIRECHUTE_BOOT", file.toString());
             builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
--- a/review/stand-ins-3/Replica.java
+++ b/review/stand-ins-3/Replica.java
@@ -87,9 +87,7 @@
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final long bornMs = System.currentTimeMillis();
     private final AtomicInteger sequence = new AtomicInteger();
-    volatile String state = "ready";
     volatile boolean isOpen = true;
-    volatile long acknowledgedMs;
 
     Replica(Fleet fleet, String id, String ip, String service, String zone, int slots, boolean isEngine, Handler handler)
             throws IOException {
@@ -213,16 +211,14 @@
     }
 
     /** Sends one heartbeat; true if it was acknowledged. */
-    boolean beat(Fleet.Node node) throws IOException, InterruptedException {
+    private boolean beat(Fleet.Node node) throws IOException, InterruptedException {
         String stage = isEngine ? ",\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]" : "";
         String body =
                 "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
-                        + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
-                        + "\",\"cold_remaining_ms\":0,\"born\":" + bornMs + stage + ",\"sequence\":"
+                        + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"ready\""
+                        + ",\"cold_remaining_ms\":0,\"born\":" + bornMs + stage + ",\"sequence\":"
                         + sequence.incrementAndGet() + "}";
-        boolean isDone = fleet.call("PUT", node.control() + "/v1/instances/" + id, body) / 100 == 2;
-        if (isDone) acknowledgedMs = System.currentTimeMillis();
-        return isDone;
+        return fleet.call("PUT", node.control() + "/v1/instances/" + id, body) / 100 == 2;
     }
 
     /** Ends as a process that crashes: all its connections are reset, and nothing listens at its address. */
