Keep the cases of the third review within their limits, and end them whatever happens

Cause: case 11 garbled 0.05 of the answers for 40 s, where the site file has 0.03 for 5 s with second answers; case 14 noted an arrival 60 ms late; processes could outlive a launcher that was killed. Change: four spells of 5 s with 0.03, the time of arrival, a watch beside each process, and a limit of 112 s on a case.

--- a/review/stand-ins-3/Fleet.java
+++ b/review/stand-ins-3/Fleet.java
@@ -21,6 +21,11 @@
 final class Fleet implements AutoCloseable {
     static final String[] ZONES = {"zone-a", "zone-b", "zone-c"};
     private static final int PORTS = 20;
+    private static final long LIMIT_MS = 112_000;
+
+    /** Ends a process once this one is gone, even if it was killed. */
+    private static final String WATCH =
+            "while kill -0 $0 && kill -0 $1; do sleep 0.3; done 2>/dev/null; kill -0 $0 2>/dev/null || kill -9 $1 2>/dev/null";
     final Path folder;
     final String net;
     final int port;
@@ -43,6 +48,18 @@
         for (int i = 1; i <= controls; i++) nodes.add(new Node("control", i, net + "." + i));
         for (int i = 1; i <= entries; i++) nodes.add(new Node("entry", i, net + "." + (100 + i)));
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+        Replica.daemon(this::endLate);
+    }
+
+    /** Ends a case that would run for longer than it may. */
+    private void endLate() {
+        try {
+            Thread.sleep(LIMIT_MS);
+        } catch (InterruptedException ended) {
+            return;
+        }
+        System.err.println("the case took too long");
+        System.exit(2);
     }
 
     private int freePorts() throws IOException {
@@ -198,6 +215,10 @@
             builder.environment().put("SAMPHIRECHUTE_BOOT", file.toString());
             builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
             process = builder.start();
+            new ProcessBuilder("bash", "-c", WATCH, Long.toString(ProcessHandle.current().pid()), Long.toString(process.pid()))
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .start();
         }
 
 
--- a/review/stand-ins-3/Garble.java
+++ b/review/stand-ins-3/Garble.java
@@ -9,14 +9,16 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 11. Half of the replicas break off one in twenty of their answers shortly before the end and send a second copy of
- * their answer before on the same connection. They write the lines of a head one by one. Exits with 1 if a client gets a
+ * Case 11. Four times for 5 s, half of the replicas break off 3 in 100 of their answers shortly before the end and send a
+ * second copy of their answer before on the same connection. They write the lines of a head one by one. Exits with 1 if a client gets a
  * success with other bytes than the whole body of its replica.
  */
 final class Garble {
     private static final int REPLICAS = 4;
     private static final int GARBLING = 2;
-    private static final double SHARE = 0.05;
+    private static final double SHARE = 0.03;
+    private static final long TROUBLE_MS = 5_000;
+    private static final long PERIOD_MS = 10_000;
     private static final int CLIENTS = 12;
     private static final long RUN_MS = 40_000;
     private static final int BODY_BYTES = 800;
@@ -27,6 +29,7 @@
     private final boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
     private final Record record;
     private final Fleet fleet;
+    private volatile long startMs;
     private final Map<String, String> ranBy = new ConcurrentHashMap<>();
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger failed = new AtomicInteger();
@@ -57,7 +60,8 @@
         fleet.awaitReady(20_000);
         Thread.sleep(3_000);
         ExecutorService clients = Executors.newCachedThreadPool();
-        long untilMs = System.currentTimeMillis() + RUN_MS;
+        startMs = System.currentTimeMillis();
+        long untilMs = startMs + RUN_MS;
         for (int i = 0; i < CLIENTS; i++) {
             int number = i;
             clients.submit(() -> useKeptConnections(number, untilMs));
@@ -79,7 +83,7 @@
             ranBy.put(request.id(), "desk-" + number);
             String body = bodyOf(request.id());
             String earlier = before.get();
-            boolean isGarbled = isGarbling && earlier != null && random.nextDouble() < SHARE;
+            boolean isGarbled = isGarbling && earlier != null && isTime() && random.nextDouble() < SHARE;
             String head = headOf(request.id(), body.length());
             if (!isGarbled) {
                 out.write(head + body);
@@ -101,6 +105,11 @@
         });
     }
 
+    /** True for 5 s of each 10 s since the clients began. */
+    private boolean isTime() {
+        return (System.currentTimeMillis() - startMs) % PERIOD_MS < TROUBLE_MS;
+    }
+
     private static String headOf(String id, int length) {
         return "HTTP/1.1 200 OK\r\nX-Samphirechute-Request-Id: " + id + "\r\nX-Samphirechute-Response-Signature: sig-" + id
                 + "\r\nContent-Type: text/plain\r\nContent-Length: " + length + "\r\n\r\n";
--- a/review/stand-ins-3/LatePart.java
+++ b/review/stand-ins-3/LatePart.java
@@ -108,10 +108,11 @@
         try {
             self[0] = new Replica(fleet, id, fleet.net + "." + (150 + number), "engine", Fleet.ZONES[number % 3], 11, true, (request, out) -> {
                 boolean hasPart = request.header("X-Samphirechute-Prompt-Prefix").contains(PART);
+                long arrivedMs = System.currentTimeMillis();
                 Thread.sleep(60);
                 if (hasPart) {
                     synchronized (this) {
-                        arrivalsMs.add(System.currentTimeMillis());
+                        arrivalsMs.add(arrivedMs);
                     }
                     record.detail("request " + request.id() + " with the part is begun by " + id);
                 }
